Add the whole path: a caller's request is answered and charged

Cause: the repository was empty. Measured: one test sends a completion through a router to a model engine and finds 10 tokens charged (2 prompt, 8 generated); before, nothing ran.

--- /dev/null
+++ b/crates/core/src/record.rs
@@ -0,0 +1,305 @@
+//! Configuration records and the declaration files that hold them.
+
+use std::collections::BTreeSet;
+
+use {
+    serde::{Deserialize, Serialize},
+    smol_str::SmolStr,
+};
+
+use crate::{
+    BudgetId, Category, CustomerId, DomainId, EndpointId, Error, Result, RouteId, Tokens,
+    admission::WorkClass,
+};
+
+/// Oldest schema version that is read.
+pub const SCHEMA_OLDEST: u32 = 1;
+/// Newest schema version that is read.
+pub const SCHEMA_NEWEST: u32 = 2;
+
+/// Kind of a configuration record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RecordKind {
+    /// A customer and its keys.
+    Customer,
+    /// A prepaid budget.
+    Budget,
+    /// Tokens paid into a budget.
+    TopUp,
+    /// A model engine or plain service instance.
+    Endpoint,
+    /// A route from a model or service name to endpoints.
+    Route,
+    /// A planned stop.
+    Stop,
+    /// A model that engines should run.
+    Model,
+}
+
+/// One configuration record.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum ConfigRecord {
+    /// A customer and its keys.
+    Customer(CustomerRecord),
+    /// A prepaid budget.
+    Budget(BudgetRecord),
+    /// Tokens paid into a budget.
+    TopUp(TopUpRecord),
+    /// A model engine or plain service instance.
+    Endpoint(EndpointRecord),
+    /// A route from a model or service name to endpoints.
+    Route(RouteRecord),
+    /// A planned stop.
+    Stop(StopRecord),
+    /// A model that engines should run.
+    Model(ModelRecord),
+}
+
+impl ConfigRecord {
+    /// Kind of the record.
+    pub fn kind(&self) -> RecordKind {
+        match self {
+            Self::Customer(_) => RecordKind::Customer,
+            Self::Budget(_) => RecordKind::Budget,
+            Self::TopUp(_) => RecordKind::TopUp,
+            Self::Endpoint(_) => RecordKind::Endpoint,
+            Self::Route(_) => RecordKind::Route,
+            Self::Stop(_) => RecordKind::Stop,
+            Self::Model(_) => RecordKind::Model,
+        }
+    }
+
+    /// Name of the record, unique within its kind.
+    pub fn name(&self) -> &SmolStr {
+        match self {
+            Self::Customer(record) => &record.name,
+            Self::Budget(record) => &record.name,
+            Self::TopUp(record) => &record.name,
+            Self::Endpoint(record) => &record.name,
+            Self::Route(record) => &record.name,
+            Self::Stop(record) => &record.name,
+            Self::Model(record) => &record.name,
+        }
+    }
+}
+
+/// A customer and the SHA-256 hashes of its keys, in hex.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CustomerRecord {
+    /// Name of the customer.
+    pub name: CustomerId,
+    /// SHA-256 of each key, in hex.
+    pub key_sha256: Vec<SmolStr>,
+    /// Share of capacity relative to other customers under load.
+    #[serde(default = "one")]
+    pub weight: u32,
+}
+
+/// A prepaid budget of a customer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BudgetRecord {
+    /// Name of the budget.
+    pub name: BudgetId,
+    /// Customer that spends it.
+    pub customer: CustomerId,
+}
+
+/// Tokens paid into a budget; takes effect once.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TopUpRecord {
+    /// Id of the payment.
+    pub name: SmolStr,
+    /// Budget that receives it.
+    pub budget: BudgetId,
+    /// Tokens paid in; a negative amount takes free tokens back.
+    pub amount: i64,
+}
+
+/// What an endpoint runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EndpointKind {
+    /// A model engine.
+    ModelEngine,
+    /// A plain service.
+    PlainService,
+}
+
+/// A model engine or plain service instance.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EndpointRecord {
+    /// Name of the endpoint.
+    pub name: EndpointId,
+    /// What it runs.
+    pub runs: EndpointKind,
+    /// IP address and port.
+    pub address: SmolStr,
+    /// Failure domain in which it stands.
+    pub failure_domain: DomainId,
+    /// Requests that it serves at once.
+    #[serde(default = "eight")]
+    pub slots: u32,
+    /// Whether it refuses orders with an old fencing number.
+    #[serde(default)]
+    pub honours_fencing: bool,
+    /// Whether it lists its streams by holder, as evidence for settlement.
+    #[serde(default)]
+    pub lists_streams: bool,
+    /// Whether it is leaving and must get no new work.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// A route from a model or service name to endpoints.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RouteRecord {
+    /// Model name, or the service name in `/svc/{name}/...`.
+    pub name: RouteId,
+    /// Endpoints that serve it.
+    pub endpoints: BTreeSet<EndpointId>,
+    /// Whether a request may run more than once.
+    #[serde(default = "yes")]
+    pub idempotent: bool,
+    /// Class of its work unless the request says otherwise.
+    #[serde(default)]
+    pub class: WorkClass,
+    /// Tokens for one call of a plain service.
+    #[serde(default)]
+    pub price: Tokens,
+    /// Largest number of tokens that a request may generate.
+    #[serde(default = "output_limit")]
+    pub max_output: Tokens,
+    /// Time limit for the whole answer, in milliseconds.
+    #[serde(default = "time_limit")]
+    pub time_limit_ms: u64,
+    /// Size limit for the answer of a plain service, in bytes.
+    #[serde(default = "answer_limit")]
+    pub answer_limit_bytes: usize,
+}
+
+/// A planned stop of an endpoint or a failure domain.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StopRecord {
+    /// Name of the stop.
+    pub name: SmolStr,
+    /// Endpoint that stops.
+    #[serde(default)]
+    pub endpoint: Option<EndpointId>,
+    /// Failure domain that stops.
+    #[serde(default)]
+    pub failure_domain: Option<DomainId>,
+    /// Start of the window, in seconds since the Unix epoch.
+    pub from: u64,
+    /// End of the window, in seconds since the Unix epoch.
+    pub until: u64,
+    /// Share of the slots of each route that must remain, in percent.
+    #[serde(default = "half")]
+    pub remaining_percent: u32,
+}
+
+/// A model that engines should run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ModelRecord {
+    /// Name of the model.
+    pub name: SmolStr,
+    /// Version that engines should run.
+    pub version: SmolStr,
+    /// Least number of engines that should run it.
+    #[serde(default = "one")]
+    pub replicas: u32,
+}
+
+fn one() -> u32 {
+    1
+}
+
+fn eight() -> u32 {
+    8
+}
+
+fn half() -> u32 {
+    50
+}
+
+fn yes() -> bool {
+    true
+}
+
+fn output_limit() -> Tokens {
+    4_096
+}
+
+fn time_limit() -> u64 {
+    600_000
+}
+
+fn answer_limit() -> usize {
+    4 << 20
+}
+
+/// A declaration file: records of one schema version.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct DeclarationFile {
+    /// Schema version of the records.
+    pub schema: u32,
+    /// Customers.
+    pub customer: Vec<CustomerRecord>,
+    /// Budgets.
+    pub budget: Vec<BudgetRecord>,
+    /// Payments into budgets.
+    pub top_up: Vec<TopUpRecord>,
+    /// Endpoints.
+    pub endpoint: Vec<EndpointRecord>,
+    /// Routes.
+    pub route: Vec<RouteRecord>,
+    /// Planned stops.
+    pub stop: Vec<StopRecord>,
+    /// Models.
+    pub model: Vec<ModelRecord>,
+}
+
+impl DeclarationFile {
+    /// All records of the file.
+    pub fn into_records(self) -> Vec<ConfigRecord> {
+        let mut records = Vec::new();
+        records.extend(self.customer.into_iter().map(ConfigRecord::Customer));
+        records.extend(self.budget.into_iter().map(ConfigRecord::Budget));
+        records.extend(self.top_up.into_iter().map(ConfigRecord::TopUp));
+        records.extend(self.endpoint.into_iter().map(ConfigRecord::Endpoint));
+        records.extend(self.route.into_iter().map(ConfigRecord::Route));
+        records.extend(self.stop.into_iter().map(ConfigRecord::Stop));
+        records.extend(self.model.into_iter().map(ConfigRecord::Model));
+        records
+    }
+}
+
+/// Reads a declaration file.
+///
+/// # Errors
+///
+/// `Syntax` for text that is not TOML or has an unknown field, `Schema` for an unknown schema version.
+pub fn from_str(text: &str) -> Result<Vec<ConfigRecord>> {
+    let file: DeclarationFile = toml::from_str(text)
+        .map_err(|error| Error::new(Category::Syntax, error.to_string().trim().to_owned()))?;
+    if !(SCHEMA_OLDEST..=SCHEMA_NEWEST).contains(&file.schema) {
+        return Err(Error::new(
+            Category::Schema,
+            format!(
+                "schema version {} is not known; write 'schema = {SCHEMA_NEWEST}' or update jasminectl",
+                file.schema
+            ),
+        )
+        .at("schema"));
+    }
+    Ok(file.into_records())
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,29 @@
+//! Ports to the platform's table service, object store, VM list and weight store, and their adapters.
+//!
+//! ```
+//! use jasminewall_platform::{MemoryPlatform, RowWrite, TransactOutcome};
+//!
+//! # tokio::runtime::Runtime::new().expect("runtime").block_on(async {
+//! let ports = MemoryPlatform::new().ports();
+//! let write = RowWrite::create("vm/a", "{}");
+//! let outcome = ports.table.transact(vec![write]).await.expect("the table answers");
+//! assert_eq!(outcome, TransactOutcome::Committed);
+//! # });
+//! ```
+
+mod error;
+mod http;
+mod memory;
+mod port;
+mod serve;
+
+pub use crate::{
+    error::{Category, Error, Result},
+    http::HttpPlatform,
+    memory::{FaultPlan, MemoryPlatform, PlatformCounts},
+    port::{
+        ObjectPort, PlatformPorts, PortFuture, RowWrite, TablePort, TableRow, TransactOutcome,
+        VmEntry, VmListPort, VmState, WeightPort,
+    },
+    serve::{PortRequest, PortResponse, serve},
+};
--- /dev/null
+++ b/crates/platform/src/port.rs
@@ -0,0 +1,136 @@
+use std::{future::Future, pin::Pin, sync::Arc};
+
+use {
+    jasminewall_core::VmId,
+    serde::{Deserialize, Serialize},
+};
+
+use crate::Result;
+
+/// Future of a port call.
+pub type PortFuture<'a, T> = Pin<Box<dyn Future<Output = Result<T>> + Send + 'a>>;
+
+/// Row of the table service with its version; versions of a key only grow.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TableRow {
+    /// Key of the row.
+    pub key: String,
+    /// Version of the row, from 1.
+    pub version: u64,
+    /// JSON text.
+    pub value: String,
+}
+
+/// Conditional write of one row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RowWrite {
+    /// Key of the row.
+    pub key: String,
+    /// Version that the row must have; 0 when it must be absent.
+    pub expected: u64,
+    /// New JSON text; `None` deletes the row.
+    pub value: Option<String>,
+}
+
+impl RowWrite {
+    /// Creates a row that must be absent.
+    pub fn create(key: impl Into<String>, value: impl Into<String>) -> Self {
+        Self {
+            key: key.into(),
+            expected: 0,
+            value: Some(value.into()),
+        }
+    }
+
+    /// Replaces a row that must have a version.
+    pub fn replace(key: impl Into<String>, expected: u64, value: impl Into<String>) -> Self {
+        Self {
+            key: key.into(),
+            expected,
+            value: Some(value.into()),
+        }
+    }
+
+    /// Deletes a row that must have a version.
+    pub fn delete(key: impl Into<String>, expected: u64) -> Self {
+        Self {
+            key: key.into(),
+            expected,
+            value: None,
+        }
+    }
+}
+
+/// Outcome of a transaction that the table service answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TransactOutcome {
+    /// All writes took effect.
+    Committed,
+    /// A row had another version; no write took effect.
+    Conflict,
+}
+
+/// Transactional table service.
+pub trait TablePort: Send + Sync {
+    /// Reads one row.
+    fn read<'a>(&'a self, key: &'a str) -> PortFuture<'a, Option<TableRow>>;
+    /// Reads all rows whose key starts with a prefix, in key order.
+    fn scan<'a>(&'a self, prefix: &'a str) -> PortFuture<'a, Vec<TableRow>>;
+    /// Applies all writes or none.
+    fn transact(&self, writes: Vec<RowWrite>) -> PortFuture<'_, TransactOutcome>;
+}
+
+/// Object store with objects that are written once.
+pub trait ObjectPort: Send + Sync {
+    /// Writes an object unless the key exists; says whether it was written.
+    fn put_new<'a>(&'a self, key: &'a str, value: Vec<u8>) -> PortFuture<'a, bool>;
+    /// Reads an object.
+    fn get<'a>(&'a self, key: &'a str) -> PortFuture<'a, Option<Vec<u8>>>;
+    /// Keys that start with a prefix, in order.
+    fn list<'a>(&'a self, prefix: &'a str) -> PortFuture<'a, Vec<String>>;
+}
+
+/// State of a VM on the platform's list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmState {
+    /// Runs.
+    Live,
+    /// Will be stopped.
+    Leaving,
+}
+
+/// Entry of the platform's VM list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmEntry {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// State of the VM.
+    pub state: VmState,
+}
+
+/// Lagging list of live and leaving VMs.
+pub trait VmListPort: Send + Sync {
+    /// Reads the list.
+    fn list(&self) -> PortFuture<'_, Vec<VmEntry>>;
+}
+
+/// Rate-limited weight store.
+pub trait WeightPort: Send + Sync {
+    /// Takes a permit to load the weights of a model; `false` when the rate limit is reached.
+    fn permit<'a>(&'a self, model: &'a str) -> PortFuture<'a, bool>;
+}
+
+/// All ports of the platform.
+#[derive(Clone)]
+pub struct PlatformPorts {
+    /// Table service.
+    pub table: Arc<dyn TablePort>,
+    /// Object store.
+    pub object: Arc<dyn ObjectPort>,
+    /// VM list.
+    pub vms: Arc<dyn VmListPort>,
+    /// Weight store.
+    pub weights: Arc<dyn WeightPort>,
+}
--- /dev/null
+++ b/crates/router/src/main.rs
@@ -0,0 +1,73 @@
+//! Binary of the router.
+
+use std::{net::IpAddr, path::PathBuf};
+
+use {
+    anyhow::{Context, Result},
+    jasminewall_platform::HttpPlatform,
+    jasminewall_router::{EmbedFleet, RouterHandle, RouterSetting, telemetry},
+};
+
+mod flags {
+    #![allow(missing_docs, unreachable_pub, clippy::unwrap_used)]
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Routes requests of many customers and spends their prepaid token budgets.
+        cmd jasminewall {
+            /// Start a whole fleet with stand-ins in this process, for a trial on one machine.
+            cmd embed {
+                /// IP address to listen on; 127.0.0.1 by default.
+                optional --ip ip: String
+            }
+            /// Run one router.
+            cmd run {
+                /// Settings, an INI file.
+                required settings: PathBuf
+                /// Check the settings and exit.
+                optional --check
+            }
+        }
+    }
+}
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let command = flags::Jasminewall::from_env_or_exit();
+    telemetry::start(telemetry::LogFormat::Text)?;
+    match command.subcommand {
+        flags::JasminewallCmd::Embed(embed) => run_embed(embed.ip).await,
+        flags::JasminewallCmd::Run(run) => run_router(run.settings, run.check).await,
+    }
+}
+
+async fn run_embed(ip: Option<String>) -> Result<()> {
+    let ip: IpAddr = ip
+        .as_deref()
+        .unwrap_or("127.0.0.1")
+        .parse()
+        .context("--ip: write an IP address")?;
+    let fleet = EmbedFleet::start(ip).await?;
+    println!("{}", fleet.summary());
+    tokio::signal::ctrl_c().await?;
+    fleet.stop().await;
+    Ok(())
+}
+
+async fn run_router(path: PathBuf, check: bool) -> Result<()> {
+    let text = std::fs::read_to_string(&path)
+        .with_context(|| format!("cannot read {}", path.display()))?;
+    let setting = text
+        .parse::<RouterSetting>()
+        .with_context(|| path.display().to_string())?;
+    if check {
+        println!("{}: the settings are valid", path.display());
+        return Ok(());
+    }
+    let ports = HttpPlatform::new(&setting.platform)?.ports();
+    let router = RouterHandle::start(setting, ports).await?;
+    println!("listening on {}", router.address);
+    tokio::signal::ctrl_c().await?;
+    router.stop().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/testkit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Scenario language, simulations and invariant checks for the development of jasminewall.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,12 @@
+//! Messages between the routers of a fleet, carried by `tarpc` over TCP.
+//!
+//! ```
+//! use jasminewall_wire::ProbeReply;
+//!
+//! let reply = ProbeReply { vm: "vm-1".into(), boot: 7, revision: 3, leaving: false };
+//! assert_eq!(reply.revision, 3);
+//! ```
+
+mod peer;
+
+pub use crate::peer::{PeerService, PeerServiceClient, ProbeReply, ServePeerService};
