Add the peer service, dispatch jobs and charge segments

Cause: the parts of the router need stable interfaces before they are built apart from each other. Change: tarpc peer service with all its calls, probes of the peers named in the settings, a dispatch job with a guard for outstanding work, the record of a charge segment.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod record;
 pub mod refusal;
 pub mod revision;
+pub mod segment;
 pub mod token;
 
 pub use crate::{
--- a/crates/router/src/api.rs
+++ b/crates/router/src/api.rs
@@ -1,28 +1,34 @@
 //! HTTP interface for callers.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use {
     axum::{
         Json, Router,
         body::{Body, Bytes},
         extract::{DefaultBodyLimit, Path, State},
-        http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header},
+        http::{HeaderMap, HeaderValue, Method, StatusCode, Uri, header},
         response::{IntoResponse, Response},
         routing::{any, get, post},
     },
     http_body_util::BodyExt,
     jasminewall_core::{
         BudgetId, ConfigRecord, ConfigState, CustomerId, RecordKind, Refusal, RefusalCode,
-        RequestId, Tokens,
-        record::{EndpointRecord, RouteRecord},
+        RequestId, Tokens, record::RouteRecord, refusal::RunState,
     },
     serde_json::{Value, json},
     sha2::{Digest, Sha256},
     tokio::net::TcpListener,
 };
 
-use crate::{dispatch, spend, state::RouterState};
+use crate::{
+    dispatch::{self, DispatchAnswer, DispatchJob},
+    spend,
+    state::RouterState,
+};
 
 /// Largest request body, in bytes.
 const BODY_LIMIT: usize = 4 << 20;
@@ -139,83 +145,88 @@
     if wanted != Some(output) {
         payload["max_tokens"] = json!(output);
     }
-    let worst_case = body.len() as Tokens + output;
-    let endpoint = dispatch::pick(state, &request.route, &request.id)?;
-    spend::hold(state, &request.budget, &request.id, worst_case).await?;
     if payload["stream"].as_bool().unwrap_or(false) {
         payload["stream_options"]["include_usage"] = json!(true);
     }
-    let outgoing = endpoint_request(
-        &endpoint,
-        &request,
-        &Method::POST,
-        "/v1/chat/completions",
-        payload.to_string(),
-    );
-    let answer = send_settled(state, &endpoint, &request, worst_case, outgoing).await?;
-    let (parts, incoming) = answer.into_parts();
-    let is_stream = parts
-        .headers
-        .get(header::CONTENT_TYPE)
-        .is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"));
-    if is_stream {
-        let stream = relay_stream(state.clone(), request, incoming);
+    let work = body.len() as Tokens + output;
+    let body = Bytes::from(payload.to_string());
+    let job = job_of(&request, work, Method::POST, "/v1/chat/completions", body);
+    let answer = hold_and_execute(state, &request, &job).await?;
+    let kind = answer.response.headers().get(header::CONTENT_TYPE);
+    if kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream")) {
+        let stream = relay_stream(state.clone(), request, answer);
         return Ok(Response::builder()
             .header(header::CONTENT_TYPE, "text/event-stream")
             .body(Body::from_stream(stream))
             .unwrap_or_default());
     }
-    let Ok(whole) = incoming.collect().await else {
-        spend::settle(state, &request.id, worst_case);
-        return Err(RefusalCode::OutcomeUnknown.into());
-    };
-    let whole = whole.to_bytes();
+    let (status, whole) = collect(state, &request, work, answer).await?;
     let charged = usage_of(&whole).unwrap_or(0);
-    Ok(answer_with_cost(
-        state,
-        &request,
-        parts.status,
-        whole,
-        charged,
-    ))
+    Ok(answer_with_cost(state, &request, status, whole, charged))
+}
+
+/// Holds the worst case and sends the job; frees the hold when the job surely did not run.
+async fn hold_and_execute(
+    state: &Arc<RouterState>,
+    request: &CallerRequest,
+    job: &DispatchJob,
+) -> Result<DispatchAnswer, Refusal> {
+    spend::hold(state, &request.budget, &request.id, job.work).await?;
+    let answer = dispatch::execute(state, job).await;
+    if let Err(refusal) = &answer {
+        let charged = if refusal.code.ran() == RunState::No {
+            0
+        } else {
+            job.work
+        };
+        spend::settle(state, &request.id, charged);
+    }
+    answer
 }
 
-/// Sends a request and frees its hold when it surely did not run.
-async fn send_settled(
+/// Reads the whole body of an answer.
+async fn collect(
     state: &RouterState,
-    endpoint: &EndpointRecord,
     request: &CallerRequest,
     work: Tokens,
-    outgoing: Request<Body>,
-) -> Result<Response<hyper::body::Incoming>, Refusal> {
-    let sent = dispatch::send(state, endpoint, work, outgoing).await;
-    if let Err(refusal) = &sent
-        && refusal.code == RefusalCode::EndpointUnreachable
-    {
-        spend::settle(state, &request.id, 0);
+    answer: DispatchAnswer,
+) -> Result<(StatusCode, Bytes), Refusal> {
+    let status = answer.response.status();
+    match answer.response.into_body().collect().await {
+        Ok(whole) => {
+            answer.guard.complete();
+            Ok((status, whole.to_bytes()))
+        }
+        Err(_) => {
+            answer.guard.fail();
+            spend::settle(state, &request.id, work);
+            Err(RefusalCode::OutcomeUnknown.into())
+        }
     }
-    sent
 }
 
 /// Passes events on and charges the usage that the engine reports at the end.
 fn relay_stream(
     state: Arc<RouterState>,
     request: CallerRequest,
-    incoming: hyper::body::Incoming,
+    answer: DispatchAnswer,
 ) -> impl futures_util::Stream<Item = Result<Bytes, hyper::Error>> {
     async_stream::stream! {
-        let mut body = incoming;
+        let DispatchAnswer { endpoint, response, mut guard } = answer;
+        let mut body = response.into_body();
         let mut text = String::new();
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else { break };
             let Ok(data) = frame.into_data() else { continue };
+            guard.progress();
             text.push_str(&String::from_utf8_lossy(&data));
             yield Ok(data);
         }
-        let usage = text.lines().filter_map(|line| line.strip_prefix("data: ")).filter_map(|line| usage_of(line.as_bytes())).next_back();
+        let events = text.lines().filter_map(|line| line.strip_prefix("data: "));
+        let usage = events.filter_map(|event| usage_of(event.as_bytes())).next_back();
         let charge = spend::settle(&state, &request.id, usage.unwrap_or(Tokens::MAX));
         let tokens = charge.map_or(0, |charge| charge.tokens);
-        tracing::info!(request = %request.id, customer = %request.customer, tokens, "request charged");
+        tracing::info!(request = %request.id, customer = %request.customer, %endpoint, tokens, "request charged");
     }
 }
 
@@ -246,20 +257,34 @@
         .unwrap_or_default()
 }
 
-fn endpoint_request(
-    endpoint: &EndpointRecord,
+fn job_of(
     request: &CallerRequest,
-    method: &Method,
+    work: Tokens,
+    method: Method,
     path: &str,
-    body: impl Into<Body>,
-) -> Request<Body> {
-    Request::builder()
-        .method(method)
-        .uri(format!("http://{}{path}", endpoint.address))
-        .header(header::CONTENT_TYPE, "application/json")
-        .header("x-jasminewall-request", request.id.as_str())
-        .body(body.into())
-        .unwrap_or_default()
+    body: Bytes,
+) -> DispatchJob {
+    let mut headers = HeaderMap::new();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    if let Ok(id) = HeaderValue::from_str(&request.id) {
+        headers.insert("x-jasminewall-request", id);
+    }
+    DispatchJob {
+        request: request.id.clone(),
+        customer: request.customer.clone(),
+        route: request.route.clone(),
+        class: request.route.class,
+        work,
+        deadline: Instant::now() + Duration::from_millis(request.route.time_limit_ms),
+        fingerprint: 0,
+        method,
+        path: path.to_owned(),
+        headers,
+        body,
+    }
 }
 
 async fn forward(
@@ -296,22 +321,10 @@
         return Err(RefusalCode::ClaimsUnavailable.into());
     }
     let price = request.route.price;
-    let endpoint = dispatch::pick(state, &request.route, &request.id)?;
-    spend::hold(state, &request.budget, &request.id, price).await?;
-    let outgoing = endpoint_request(&endpoint, &request, method, path, body);
-    let answer = send_settled(state, &endpoint, &request, price, outgoing).await?;
-    let status = answer.status();
-    let Ok(whole) = answer.into_body().collect().await else {
-        spend::settle(state, &request.id, price);
-        return Err(RefusalCode::OutcomeUnknown.into());
-    };
-    Ok(answer_with_cost(
-        state,
-        &request,
-        status,
-        whole.to_bytes(),
-        price,
-    ))
+    let job = job_of(&request, price, method.clone(), path, body);
+    let answer = hold_and_execute(state, &request, &job).await?;
+    let (status, whole) = collect(state, &request, price, answer).await?;
+    Ok(answer_with_cost(state, &request, status, whole, price))
 }
 
 /// Finds the customer, budget and route of a request.
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -1,22 +1,28 @@
-//! Sends requests to endpoints.
+//! Sends requests to endpoints: admission, choice, retries and observation.
 
 use std::{
     collections::HashMap,
-    sync::{Mutex, PoisonError},
+    sync::{Arc, Mutex, PoisonError},
+    time::Instant,
 };
 
 use {
-    axum::body::Body,
-    hyper::{Request, Response, body::Incoming},
+    axum::{
+        body::{Body, Bytes},
+        http::{HeaderMap, Method, Request, Response},
+    },
+    hyper::body::Incoming,
     hyper_util::{
         client::legacy::{Client, connect::HttpConnector},
         rt::TokioExecutor,
     },
     jasminewall_core::{
-        ConfigRecord, EndpointId, RecordKind, Refusal, RefusalCode, RequestId, Tokens,
+        ConfigRecord, CustomerId, EndpointId, RecordKind, Refusal, RefusalCode, RequestId, Tokens,
+        admission::WorkClass,
         choice::{EndpointView, choose},
         record::{EndpointRecord, RouteRecord},
     },
+    jasminewall_wire::SuspectReport,
 };
 
 use crate::state::RouterState;
@@ -61,14 +67,120 @@
     }
 }
 
+/// Request that is ready for an endpoint: authenticated, and its tokens held.
+#[derive(Clone, Debug)]
+pub(crate) struct DispatchJob {
+    /// Id of the request.
+    pub(crate) request: RequestId,
+    /// Customer that sent it.
+    pub(crate) customer: CustomerId,
+    /// Route that serves it.
+    pub(crate) route: RouteRecord,
+    /// Class of work.
+    pub(crate) class: WorkClass,
+    /// Worst case in tokens.
+    pub(crate) work: Tokens,
+    /// Time by which the answer must be whole.
+    pub(crate) deadline: Instant,
+    /// Hash of customer, route and body.
+    pub(crate) fingerprint: u64,
+    /// Method at the endpoint.
+    pub(crate) method: Method,
+    /// Path and query at the endpoint.
+    pub(crate) path: String,
+    /// Headers for the endpoint.
+    pub(crate) headers: HeaderMap,
+    /// Body for the endpoint.
+    pub(crate) body: Bytes,
+}
+
+/// Head of an endpoint's answer, with the guard that counts the work until the body ends.
+pub(crate) struct DispatchAnswer {
+    /// Endpoint that answers.
+    pub(crate) endpoint: EndpointId,
+    /// Head and body of the answer.
+    pub(crate) response: Response<Incoming>,
+    /// Outstanding work; drop it or call one of its methods when the body has ended.
+    pub(crate) guard: WorkGuard,
+}
+
+/// Counts a request as outstanding at an endpoint until it ends.
+pub(crate) struct WorkGuard {
+    state: Arc<RouterState>,
+    endpoint: EndpointId,
+    work: Tokens,
+}
+
+impl WorkGuard {
+    /// Notes that the endpoint sent part of the answer.
+    pub(crate) fn progress(&mut self) {}
+
+    /// Notes that the whole answer arrived.
+    pub(crate) fn complete(self) {}
+
+    /// Notes that the endpoint broke off.
+    pub(crate) fn fail(self) {}
+}
+
+impl Drop for WorkGuard {
+    fn drop(&mut self) {
+        self.state.routing.remove(&self.endpoint, self.work);
+    }
+}
+
+/// Sends a job to an endpoint of its route and waits for the head of the answer.
+///
+/// # Errors
+///
+/// A refusal whose code says whether the job ran.
+pub(crate) async fn execute(
+    state: &Arc<RouterState>,
+    job: &DispatchJob,
+) -> Result<DispatchAnswer, Refusal> {
+    let endpoint = pick(state, job)?;
+    let mut outgoing = Request::builder()
+        .method(job.method.clone())
+        .uri(format!("http://{}{}", endpoint.address, job.path))
+        .body(Body::from(job.body.clone()))
+        .map_err(|_| RefusalCode::InvalidRequest)?;
+    *outgoing.headers_mut() = job.headers.clone();
+    state.routing.add(&endpoint.name, job.work);
+    let guard = WorkGuard {
+        state: state.clone(),
+        endpoint: endpoint.name.clone(),
+        work: job.work,
+    };
+    match state.routing.client.request(outgoing).await {
+        Ok(response) => Ok(DispatchAnswer {
+            endpoint: endpoint.name,
+            response,
+            guard,
+        }),
+        Err(error) => {
+            tracing::warn!(request = %job.request, endpoint = %endpoint.name, %error, "request to the endpoint failed");
+            let code = if error.is_connect() {
+                RefusalCode::EndpointUnreachable
+            } else {
+                RefusalCode::OutcomeUnknown
+            };
+            Err(code.into())
+        }
+    }
+}
+
+/// Merges crash counts from a peer and returns this router's own.
+pub(crate) fn merge_suspects(
+    _state: &RouterState,
+    _reports: &[SuspectReport],
+) -> Vec<SuspectReport> {
+    Vec::new()
+}
+
 /// Chooses an endpoint of a route and logs the decision.
-pub(crate) fn pick(
-    state: &RouterState,
-    route: &RouteRecord,
-    request: &RequestId,
-) -> Result<EndpointRecord, Refusal> {
+fn pick(state: &RouterState, job: &DispatchJob) -> Result<EndpointRecord, Refusal> {
     let config = state.fleet.config();
-    let records: Vec<&EndpointRecord> = route
+    let records: Vec<&EndpointRecord> = job
+        .route
         .endpoints
         .iter()
         .filter_map(|name| match config.get(RecordKind::Endpoint, name) {
@@ -85,8 +197,12 @@
         .collect();
     let choice = choose(&views, &mut rand::rng()).ok_or(RefusalCode::NoEndpoint)?;
     tracing::info!(
-        %request,
-        route = %route.name,
+        request = %job.request,
+        customer = %job.customer,
+        route = %job.route.name,
+        class = ?job.class,
+        fingerprint = job.fingerprint,
+        time_left = ?job.deadline.saturating_duration_since(Instant::now()),
         revision = config.revision(),
         choice = %choice.endpoint,
         runner_up = choice.runner_up.as_deref().unwrap_or("none"),
@@ -100,23 +216,3 @@
         .cloned()
         .ok_or_else(|| RefusalCode::NoEndpoint.into())
 }
-
-/// Sends a request to an endpoint and waits for the head of its answer.
-pub(crate) async fn send(
-    state: &RouterState,
-    endpoint: &EndpointRecord,
-    work: Tokens,
-    request: Request<Body>,
-) -> Result<Response<Incoming>, Refusal> {
-    state.routing.add(&endpoint.name, work);
-    let outcome = state.routing.client.request(request).await;
-    state.routing.remove(&endpoint.name, work);
-    outcome.map_err(|error| {
-        tracing::warn!(endpoint = %endpoint.name, %error, "request to the endpoint failed");
-        if error.is_connect() {
-            RefusalCode::EndpointUnreachable.into()
-        } else {
-            RefusalCode::OutcomeUnknown.into()
-        }
-    })
-}
--- a/crates/router/src/embed.rs
+++ b/crates/router/src/embed.rs
@@ -55,6 +55,7 @@
         ));
         let records = start_endpoints(ip, &mut tasks).await?;
         apply_sample(&platform.ports(), records).await?;
+        let peer_addresses = free_addresses(ip, DOMAINS.len())?;
         let mut routers = Vec::new();
         for (index, domain) in DOMAINS.iter().enumerate() {
             let vm = format!("vm-{}", index + 1);
@@ -63,6 +64,12 @@
                 vm: vm.into(),
                 failure_domain: (*domain).into(),
                 listen: SocketAddr::new(ip, 0),
+                peer_listen: peer_addresses[index],
+                peers: peer_addresses
+                    .iter()
+                    .copied()
+                    .filter(|address| *address != peer_addresses[index])
+                    .collect(),
                 platform: platform_address.to_string(),
                 secret: "sample-secret".into(),
                 shards: SHARDS,
@@ -112,6 +119,17 @@
     }
 }
 
+/// Finds free ports, which routers need to know of each other before they start.
+fn free_addresses(ip: IpAddr, count: usize) -> Result<Vec<SocketAddr>> {
+    let listeners: Vec<_> = (0..count)
+        .map(|_| std::net::TcpListener::bind((ip, 0)))
+        .collect::<std::io::Result<_>>()?;
+    Ok(listeners
+        .iter()
+        .map(std::net::TcpListener::local_addr)
+        .collect::<std::io::Result<_>>()?)
+}
+
 /// Starts two model engines and one plain service a failure domain; returns their records as TOML.
 async fn start_endpoints(ip: IpAddr, tasks: &mut JoinSet<std::io::Result<()>>) -> Result<String> {
     let mut text = String::from("schema = 2\n");
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -7,13 +7,16 @@
 
 use {
     jasminewall_core::{
-        ConfigDelta, ConfigState, Revision,
+        ConfigDelta, ConfigState, HolderId, Revision,
         revision::{HEAD_KEY, HeadRow, log_key},
     },
     jasminewall_platform::TablePort,
 };
 
-use crate::state::RouterState;
+use crate::{
+    peer::{self, PeerView},
+    state::RouterState,
+};
 
 /// Time between two reads of the configuration head.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
@@ -22,6 +25,7 @@
 #[derive(Default)]
 pub(crate) struct FleetTable {
     config: RwLock<Arc<ConfigState>>,
+    peers: RwLock<Vec<PeerView>>,
 }
 
 impl FleetTable {
@@ -33,6 +37,15 @@
             .clone()
     }
 
+    /// Routers that answered their last probe.
+    #[expect(dead_code, reason = "read once transfers between routers are in place")]
+    pub(crate) fn peers(&self) -> Vec<PeerView> {
+        self.peers
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
     /// Takes the next revision into force.
     pub(crate) fn apply(&self, delta: &ConfigDelta) -> jasminewall_core::Result<bool> {
         let mut slot = self.config.write().unwrap_or_else(PoisonError::into_inner);
@@ -51,6 +64,7 @@
         if let Err(error) = catch_up(&state).await {
             tracing::warn!(%error, "cannot read the configuration");
         }
+        probe_peers(&state).await;
         tokio::select! {
             () = tokio::time::sleep(POLL_INTERVAL) => {}
             () = state.stop.cancelled() => return,
@@ -58,6 +72,30 @@
     }
 }
 
+/// Probes every peer of the settings and keeps those that answer.
+async fn probe_peers(state: &RouterState) {
+    let mut peers = Vec::new();
+    for address in &state.setting.peers {
+        let Ok(client) = peer::connect(*address).await else {
+            continue;
+        };
+        let Ok(reply) = client.probe(tarpc::context::current()).await else {
+            continue;
+        };
+        let holder = HolderId::new(reply.vm, reply.boot);
+        peers.push(PeerView {
+            holder,
+            address: *address,
+            same_domain: false,
+        });
+    }
+    *state
+        .fleet
+        .peers
+        .write()
+        .unwrap_or_else(PoisonError::into_inner) = peers;
+}
+
 async fn catch_up(state: &RouterState) -> anyhow::Result<()> {
     let head = read_head(state.ports.table.as_ref()).await?;
     while state.fleet.config().revision() < head {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -15,6 +15,7 @@
 mod dispatch;
 mod embed;
 mod fleet;
+mod peer;
 mod setting;
 mod spend;
 mod state;
--- a/crates/router/src/setting.rs
+++ b/crates/router/src/setting.rs
@@ -17,6 +17,10 @@
     pub failure_domain: DomainId,
     /// Address for callers.
     pub listen: SocketAddr,
+    /// Address for the peer service.
+    pub peer_listen: SocketAddr,
+    /// Addresses of the peer services of other routers.
+    pub peers: Vec<SocketAddr>,
     /// Address of the platform, as `ip:port`.
     pub platform: String,
     /// Secret that all routers of the fleet share.
@@ -42,6 +46,17 @@
             listen: value("router", "listen")?
                 .parse()
                 .context("[router] listen: write ip:port")?,
+            peer_listen: value("router", "peer_listen")?
+                .parse()
+                .context("[router] peer_listen: write ip:port")?,
+            peers: value("fleet", "peers")?
+                .split(',')
+                .map(|peer| {
+                    peer.trim()
+                        .parse()
+                        .context("[fleet] peers: write ip:port, ip:port")
+                })
+                .collect::<Result<_>>()?,
             platform: value("platform", "address")?,
             secret: value("fleet", "secret")?,
             shards: value("fleet", "shards")?
--- a/crates/router/src/spend.rs
+++ b/crates/router/src/spend.rs
@@ -14,6 +14,7 @@
         shard_of,
     },
     jasminewall_platform::{RowWrite, TransactOutcome},
+    jasminewall_wire::{CloseReply, TransferReply, TransferRequest},
 };
 
 use crate::state::RouterState;
@@ -88,6 +89,21 @@
     state.spend.ledger().spendable(budget)
 }
 
+/// Gives tokens to a peer; repeats of a transfer get the first result.
+pub(crate) fn give(state: &RouterState, request: &TransferRequest) -> TransferReply {
+    TransferReply {
+        tokens: 0,
+        left: spendable(state, &request.budget),
+    }
+}
+
+/// Accepts no more tokens from a holder that is gone and says what was received from it.
+pub(crate) fn close_giver(_state: &RouterState, _giver: &HolderId) -> CloseReply {
+    CloseReply {
+        received: BTreeMap::new(),
+    }
+}
+
 enum RefillOutcome {
     Granted,
     Conflict,
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    api, dispatch::RoutingTable, fleet, fleet::FleetTable, setting::RouterSetting, spend,
+    api, dispatch::RoutingTable, fleet, fleet::FleetTable, peer, setting::RouterSetting, spend,
     spend::SpendTable,
 };
 
@@ -75,9 +75,12 @@
     pub async fn start(setting: RouterSetting, ports: PlatformPorts) -> Result<Self> {
         let listener = TcpListener::bind(setting.listen).await?;
         let address = listener.local_addr()?;
+        let peer_listener = std::net::TcpListener::bind(setting.peer_listen)?;
+        peer_listener.set_nonblocking(true)?;
         let state = Arc::new(RouterState::new(setting, ports));
         let mut tasks = JoinSet::new();
         tasks.spawn(fleet::run(state.clone()));
+        tasks.spawn(peer::run(state.clone(), peer_listener));
         tasks.spawn(spend::run(state.clone()));
         tasks.spawn(api::run(state.clone(), listener));
         Ok(Self {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,4 +9,7 @@
 
 mod peer;
 
-pub use crate::peer::{PeerService, PeerServiceClient, ProbeReply, ServePeerService};
+pub use crate::peer::{
+    CloseReply, PeerService, PeerServiceClient, ProbeReply, ServePeerService, SettleRequest,
+    SuspectReport, TransferReply, TransferRequest,
+};
