Carry customer, route and end of a request to its charge

Cause: charge lines for the ledger need more than a token count. Change: a hold names customer, budget and route; a settlement names its end. Conclusion: interface for the ledger and for settlement after a crash.

--- a/crates/router/src/api.rs
+++ b/crates/router/src/api.rs
@@ -26,7 +26,7 @@
 
 use crate::{
     dispatch::{self, DispatchAnswer, DispatchJob},
-    spend,
+    spend::{self, HoldRequest, RequestEnd},
     state::RouterState,
 };
 
@@ -171,15 +171,21 @@
     request: &CallerRequest,
     job: &DispatchJob,
 ) -> Result<DispatchAnswer, Refusal> {
-    spend::hold(state, &request.budget, &request.id, job.work).await?;
+    let hold = HoldRequest {
+        request: request.id.clone(),
+        customer: request.customer.clone(),
+        budget: request.budget.clone(),
+        route: request.route.name.clone(),
+        amount: job.work,
+    };
+    spend::hold(state, &hold).await?;
     let answer = dispatch::execute(state, job).await;
     if let Err(refusal) = &answer {
-        let charged = if refusal.code.ran() == RunState::No {
-            0
-        } else {
-            job.work
+        let (charged, end) = match refusal.code.ran() {
+            RunState::No => (0, RequestEnd::NotRun),
+            RunState::Yes | RunState::Unknown => (job.work, RequestEnd::Unknown),
         };
-        spend::settle(state, &request.id, charged);
+        spend::settle(state, &request.id, charged, end);
     }
     answer
 }
@@ -199,7 +205,7 @@
         }
         Err(_) => {
             answer.guard.fail();
-            spend::settle(state, &request.id, work);
+            spend::settle(state, &request.id, work, RequestEnd::Unknown);
             Err(RefusalCode::OutcomeUnknown.into())
         }
     }
@@ -224,9 +230,9 @@
         }
         let events = text.lines().filter_map(|line| line.strip_prefix("data: "));
         let usage = events.filter_map(|event| usage_of(event.as_bytes())).next_back();
-        let charge = spend::settle(&state, &request.id, usage.unwrap_or(Tokens::MAX));
-        let tokens = charge.map_or(0, |charge| charge.tokens);
-        tracing::info!(request = %request.id, customer = %request.customer, %endpoint, tokens, "request charged");
+        let end = if usage.is_some() { RequestEnd::Ran } else { RequestEnd::Unknown };
+        tracing::info!(request = %request.id, %endpoint, "stream ended");
+        spend::settle(&state, &request.id, usage.unwrap_or(Tokens::MAX), end);
     }
 }
 
@@ -241,9 +247,8 @@
     body: Bytes,
     tokens: Tokens,
 ) -> Response {
-    let charge = spend::settle(state, &request.id, tokens);
+    let charge = spend::settle(state, &request.id, tokens, RequestEnd::Ran);
     let charged = charge.map_or(0, |charge| charge.tokens);
-    tracing::info!(request = %request.id, customer = %request.customer, tokens = charged, "request charged");
     Response::builder()
         .status(status)
         .header(header::CONTENT_TYPE, "application/json")
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -25,7 +25,7 @@
     jasminewall_wire::SuspectReport,
 };
 
-use crate::state::RouterState;
+use crate::{spend, state::RouterState};
 
 /// What the router knows of endpoints.
 pub(crate) struct RoutingTable {
@@ -144,6 +144,7 @@
         .body(Body::from(job.body.clone()))
         .map_err(|_| RefusalCode::InvalidRequest)?;
     *outgoing.headers_mut() = job.headers.clone();
+    spend::note_endpoint(state, &job.request, &endpoint.name);
     state.routing.add(&endpoint.name, job.work);
     let guard = WorkGuard {
         state: state.clone(),
--- a/crates/router/src/peer.rs
+++ b/crates/router/src/peer.rs
@@ -16,7 +16,11 @@
     },
 };
 
-use crate::{dispatch, spend, state::RouterState};
+use crate::{
+    dispatch,
+    spend::{self, RequestEnd},
+    state::RouterState,
+};
 
 /// Largest frame between routers, in bytes.
 const FRAME_LIMIT: usize = 1 << 20;
@@ -109,7 +113,13 @@
     }
 
     async fn settle(self, _: context::Context, request: SettleRequest) -> bool {
-        spend::settle(&self.state, &request.request, request.tokens).is_some()
+        spend::settle(
+            &self.state,
+            &request.request,
+            request.tokens,
+            RequestEnd::Ran,
+        )
+        .is_some()
     }
 
     async fn leaving(self, _: context::Context, name: VmId) {
--- a/crates/router/src/spend.rs
+++ b/crates/router/src/spend.rs
@@ -8,7 +8,8 @@
 
 use {
     jasminewall_core::{
-        BudgetId, GrantLedger, HolderId, Refusal, RefusalCode, RequestId, ShardId, Tokens,
+        BudgetId, CustomerId, EndpointId, GrantLedger, HolderId, Refusal, RefusalCode, RequestId,
+        RouteId, ShardId, Tokens,
         budget::{GrantRow, PoolRow, grant_key, pool_key},
         ledger::RequestCharge,
         shard_of,
@@ -23,6 +24,8 @@
 const FLUSH_INTERVAL: Duration = Duration::from_secs(1);
 /// Smallest number of tokens taken from the pool at once.
 const GRANT_MIN: Tokens = 1_000;
+/// Time after which a caller may try again when tokens are out of reach.
+const RETRY_WAIT: Duration = Duration::from_secs(2);
 /// Times that a grant move is tried again after a conflict.
 const MOVE_ATTEMPTS: u32 = 8;
 
@@ -50,29 +53,63 @@
     }
 }
 
+/// Tokens to hold for one request, and what its charge line says of it.
+#[derive(Clone, Debug)]
+pub(crate) struct HoldRequest {
+    /// Request.
+    pub(crate) request: RequestId,
+    /// Customer that sent it.
+    pub(crate) customer: CustomerId,
+    /// Budget that pays.
+    pub(crate) budget: BudgetId,
+    /// Route that serves it.
+    pub(crate) route: RouteId,
+    /// Worst case in tokens.
+    pub(crate) amount: Tokens,
+}
+
+/// How a request with a hold ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RequestEnd {
+    /// Ran to its end.
+    Ran,
+    /// The caller left while it ran.
+    #[expect(dead_code, reason = "used once streams notice that the caller left")]
+    Cancelled,
+    /// Surely did not run.
+    NotRun,
+    /// May have run.
+    Unknown,
+}
+
 /// Holds the worst case of a request, with a refill of the grant when it does not cover it.
-pub(crate) async fn hold(
-    state: &RouterState,
-    budget: &BudgetId,
-    request: &RequestId,
-    amount: Tokens,
-) -> Result<(), Refusal> {
+pub(crate) async fn hold(state: &RouterState, hold: &HoldRequest) -> Result<(), Refusal> {
+    let HoldRequest {
+        request,
+        budget,
+        amount,
+        ..
+    } = hold;
+    tracing::debug!(%request, customer = %hold.customer, route = %hold.route, "hold wanted");
     for _ in 0..MOVE_ATTEMPTS {
-        if state.spend.ledger().hold(budget, request, amount).is_ok() {
+        if state.spend.ledger().hold(budget, request, *amount).is_ok() {
             return Ok(());
         }
-        match refill(state, budget, amount).await {
+        match refill(state, budget, *amount).await {
             Ok(RefillOutcome::Granted | RefillOutcome::Conflict) => {}
             Ok(RefillOutcome::Spent) => return Err(RefusalCode::TokensOutOfReach.into()),
             Err(error) => {
                 tracing::warn!(%error, %budget, "grant refill failed");
-                return Err(
-                    Refusal::new(RefusalCode::TokensOutOfReach).retry_after(Duration::from_secs(2))
-                );
+                return Err(Refusal::new(RefusalCode::TokensOutOfReach).retry_after(RETRY_WAIT));
             }
         }
     }
-    Err(Refusal::new(RefusalCode::TokensOutOfReach).retry_after(Duration::from_secs(1)))
+    Err(Refusal::new(RefusalCode::TokensOutOfReach).retry_after(RETRY_WAIT))
+}
+
+/// Notes the endpoint that a request is sent to, as evidence for its settlement.
+pub(crate) fn note_endpoint(_state: &RouterState, request: &RequestId, endpoint: &EndpointId) {
+    tracing::debug!(%request, %endpoint, "request is sent");
 }
 
 /// Replaces the hold of a request by its charge.
@@ -80,8 +117,11 @@
     state: &RouterState,
     request: &RequestId,
     tokens: Tokens,
+    end: RequestEnd,
 ) -> Option<RequestCharge> {
-    state.spend.ledger().settle(request, tokens).ok()
+    let charge = state.spend.ledger().settle(request, tokens).ok()?;
+    tracing::info!(%request, tokens = charge.tokens, ?end, "request charged");
+    Some(charge)
 }
 
 /// Tokens of a budget that this router may still spend.
