--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod refusal;
 pub mod revision;
 pub mod segment;
+pub mod stop;
 pub mod token;
 
 pub use crate::{
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -25,7 +25,7 @@
     jasminewall_wire::SuspectReport,
 };
 
-use crate::{spend, state::RouterState};
+use crate::{fleet, spend, state::RouterState};
 
 /// What the router knows of endpoints.
 pub(crate) struct RoutingTable {
@@ -185,7 +185,9 @@
         .endpoints
         .iter()
         .filter_map(|name| match config.get(RecordKind::Endpoint, name) {
-            Some(ConfigRecord::Endpoint(record)) if !record.leaving => Some(record),
+            Some(ConfigRecord::Endpoint(record)) if fleet::takes_work(state, record) => {
+                Some(record)
+            }
             _ => None,
         })
         .collect();
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -1,16 +1,20 @@
 //! Follows the configuration of the fleet.
 
 use std::{
+    collections::BTreeSet,
     sync::{Arc, PoisonError, RwLock},
-    time::Duration,
+    time::{Duration, SystemTime},
 };
 
 use {
     jasminewall_core::{
         ConfigDelta, ConfigState, HolderId, Revision,
+        record::EndpointRecord,
         revision::{HEAD_KEY, HeadRow, log_key},
+        stop,
     },
     jasminewall_platform::TablePort,
+    smol_str::SmolStr,
 };
 
 use crate::{
@@ -26,6 +30,7 @@
 pub(crate) struct FleetTable {
     config: RwLock<Arc<ConfigState>>,
     peers: RwLock<Vec<PeerView>>,
+    leaving: RwLock<BTreeSet<SmolStr>>,
 }
 
 impl FleetTable {
@@ -46,6 +51,21 @@
             .clone()
     }
 
+    /// Notes that a VM or endpoint is leaving; says whether that is news.
+    pub(crate) fn note_leaving(&self, name: SmolStr) -> bool {
+        self.leaving
+            .write()
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(name)
+    }
+
+    fn is_leaving(&self, name: &str) -> bool {
+        self.leaving
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .contains(name)
+    }
+
     /// Takes the next revision into force.
     pub(crate) fn apply(&self, delta: &ConfigDelta) -> jasminewall_core::Result<bool> {
         let mut slot = self.config.write().unwrap_or_else(PoisonError::into_inner);
@@ -58,6 +78,15 @@
     }
 }
 
+/// Whether an endpoint may get new work: it is not declared as leaving, no planned stop covers it,
+/// and neither a peer nor the endpoint itself named it as leaving.
+pub(crate) fn takes_work(state: &RouterState, endpoint: &EndpointRecord) -> bool {
+    let config = state.fleet.config();
+    !endpoint.leaving
+        && !state.fleet.is_leaving(&endpoint.name)
+        && stop::stop_of(&config, endpoint, SystemTime::now()).is_none()
+}
+
 /// Reads new revisions until the router stops.
 pub(crate) async fn run(state: Arc<RouterState>) {
     loop {
--- a/crates/router/src/peer.rs
+++ b/crates/router/src/peer.rs
@@ -123,6 +123,8 @@
     }
 
     async fn leaving(self, _: context::Context, name: VmId) {
-        tracing::info!(%name, "a peer says that this VM or endpoint is leaving");
+        if self.state.fleet.note_leaving(name.clone()) {
+            tracing::info!(%name, "a peer says that this VM or endpoint is leaving");
+        }
     }
 }
