Account budgets with numbered commits, transfers and settlement

Cause: grants knew neither returns nor transfers, and a lost response was told apart from a failure only by comparing whole rows. Change: a shard commit keeps its segment and plan unchanged until they took effect or never can; transfers are numbered, debit the giver first and repeat the first result; a dead holder's row is closed, settled from segments, evidence objects and endpoint lists, and folded into the pool; grants are sized by a forecast. A random schedule simulation checks the decisions.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -4,10 +4,18 @@
 
 use {
     serde::{Deserialize, Serialize},
-    smol_str::SmolStr,
+    smol_str::{SmolStr, ToSmolStr},
 };
 
-use crate::{BudgetId, HolderId, ShardId, Tokens};
+use crate::{BudgetId, HolderId, RequestId, ShardId, Tokens};
+
+/// Text form of a [`HolderId`], used as a key of JSON maps.
+pub type HolderKey = SmolStr;
+
+/// Key of a holder in JSON maps.
+pub fn holder_key(holder: &HolderId) -> HolderKey {
+    holder.to_smolstr()
+}
 
 /// Key of the pool row of a shard.
 pub fn pool_key(shard: ShardId) -> String {
@@ -42,6 +50,24 @@
     pub spent: Tokens,
     /// Ids of the top-ups that took effect.
     pub top_ups: BTreeSet<SmolStr>,
+    /// Tokens taken back by each lowering, by its id.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub lowered: BTreeMap<SmolStr, Tokens>,
+    /// Holders that have tokens of the budget.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub holders: BTreeSet<HolderKey>,
+    /// Tokens of dead holders whose use is not proven; a view of their closed grant rows.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub unresolved: BTreeMap<HolderKey, Tokens>,
+}
+
+/// Result of lowering a budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LowerOutcome {
+    /// Tokens taken back.
+    pub taken: Tokens,
+    /// Tokens that are granted or spent and were left.
+    pub left: Tokens,
 }
 
 impl PoolEntry {
@@ -54,6 +80,21 @@
         self.free += amount;
         true
     }
+
+    /// Takes free tokens back once; a repeat of the same id returns the first result.
+    pub fn lower(&mut self, id: &SmolStr, amount: Tokens) -> LowerOutcome {
+        if self.top_ups.insert(id.clone()) {
+            let taken = amount.min(self.free);
+            self.free -= taken;
+            self.prepaid -= taken;
+            self.lowered.insert(id.clone(), taken);
+        }
+        let taken = self.lowered.get(id).copied().unwrap_or_default();
+        LowerOutcome {
+            taken,
+            left: amount.saturating_sub(taken),
+        }
+    }
 }
 
 /// Grants of one holder in one shard.
@@ -61,14 +102,45 @@
 pub struct GrantRow {
     /// Router run that owns the row.
     pub holder: HolderId,
-    /// Number of the last commit of the holder.
+    /// Number of the last commit that carries charges, which names its segment.
     pub seq: u64,
+    /// Number of the last commit of any kind, by which a lost response is recognised.
+    #[serde(default)]
+    pub step: u64,
+    /// Whether the holder is dead or stopped; its own commits conflict from then on.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub closed: bool,
+    /// Whether the charges of a closed row are complete: by the holder itself or by evidence.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub exact: bool,
+    /// Holders with which this one exchanges no more tokens; amounts given and received are final.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub closed_peers: BTreeSet<HolderKey>,
+    /// Requests that the settlement of a closed row has charged.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub settled: BTreeSet<RequestId>,
     /// Account of each budget.
     pub accounts: BTreeMap<BudgetId, GrantAccount>,
 }
 
-/// Committed account of one budget at one holder.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+impl GrantRow {
+    /// Row of a holder before its first commit.
+    pub fn new(holder: HolderId) -> Self {
+        Self {
+            holder,
+            seq: 0,
+            step: 0,
+            closed: false,
+            exact: false,
+            closed_peers: BTreeSet::new(),
+            settled: BTreeSet::new(),
+            accounts: BTreeMap::new(),
+        }
+    }
+}
+
+/// Committed account of one budget at one holder. All amounts only grow.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GrantAccount {
     /// Tokens taken from the pool.
     pub granted: Tokens,
@@ -76,4 +148,115 @@
     pub returned: Tokens,
     /// Tokens charged for requests.
     pub charged: Tokens,
+    /// Tokens received from each peer.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub received: BTreeMap<HolderKey, Tokens>,
+    /// Tokens given to each peer.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub given: BTreeMap<HolderKey, Tokens>,
+    /// Upper limit of the sum of `given` until the next commit.
+    #[serde(default)]
+    pub transferable: Tokens,
+}
+
+impl GrantAccount {
+    /// Tokens received from all peers.
+    pub fn received_total(&self) -> Tokens {
+        self.received.values().sum()
+    }
+
+    /// Tokens given to all peers.
+    pub fn given_total(&self) -> Tokens {
+        self.given.values().sum()
+    }
+
+    /// Tokens that came in and were neither returned, given nor charged.
+    pub fn balance(&self) -> Tokens {
+        (self.granted + self.received_total())
+            .saturating_sub(self.returned + self.given_total() + self.charged)
+    }
+}
+
+/// Moves free tokens of the pool to a holder; takes at most what is free and says how much.
+pub fn move_to_grant(
+    pool: &mut PoolRow,
+    row: &mut GrantRow,
+    budget: &BudgetId,
+    tokens: Tokens,
+) -> Tokens {
+    let Some(entry) = pool.budgets.get_mut(budget) else {
+        return 0;
+    };
+    let tokens = tokens.min(entry.free);
+    if tokens > 0 {
+        entry.free -= tokens;
+        entry.holders.insert(holder_key(&row.holder));
+        row.accounts.entry(budget.clone()).or_default().granted += tokens;
+    }
+    tokens
+}
+
+/// Moves tokens of a holder back to the pool; at most the balance of its account.
+pub fn move_to_pool(
+    pool: &mut PoolRow,
+    row: &mut GrantRow,
+    budget: &BudgetId,
+    tokens: Tokens,
+) -> Tokens {
+    let Some(account) = row.accounts.get_mut(budget) else {
+        return 0;
+    };
+    let tokens = tokens.min(account.balance());
+    account.returned += tokens;
+    let entry = pool.budgets.entry(budget.clone()).or_default();
+    entry.free += tokens;
+    if account.balance() == 0 {
+        entry.holders.remove(&holder_key(&row.holder));
+    }
+    tokens
+}
+
+/// Whether the row of a stopped holder can be folded: nothing is left in it, and every other row
+/// of the shard agrees with it, with finality, on what the two gave each other.
+pub fn can_fold(row: &GrantRow, others: &[GrantRow]) -> bool {
+    let empty = row.accounts.values().all(|account| account.balance() == 0);
+    let is_settled = |other: &GrantRow| {
+        let is_final =
+            is_final(row, other) || row.closed_peers.contains(&holder_key(&other.holder));
+        is_final && agrees(row, other)
+    };
+    row.closed && row.exact && empty && others.iter().all(is_settled)
+}
+
+/// Whether another holder can neither receive more from a closed row nor have given it more.
+pub(crate) fn is_final(row: &GrantRow, other: &GrantRow) -> bool {
+    let proven = other.closed && other.exact;
+    proven || other.closed_peers.contains(&holder_key(&row.holder))
+}
+
+/// Whether two rows name the same amounts for the tokens they gave each other.
+pub fn agrees(row: &GrantRow, other: &GrantRow) -> bool {
+    let (key, peer) = (holder_key(&row.holder), holder_key(&other.holder));
+    let budgets = row.accounts.keys().chain(other.accounts.keys());
+    let amount = |map: Option<&BTreeMap<HolderKey, Tokens>>, key: &HolderKey| {
+        map.and_then(|map| map.get(key))
+            .copied()
+            .unwrap_or_default()
+    };
+    budgets.into_iter().all(|budget| {
+        let (a, b) = (row.accounts.get(budget), other.accounts.get(budget));
+        amount(a.map(|a| &a.given), &peer) == amount(b.map(|b| &b.received), &key)
+            && amount(a.map(|a| &a.received), &peer) == amount(b.map(|b| &b.given), &key)
+    })
+}
+
+/// Adds the charges of a finished row to the pool, whose owner then deletes the row.
+pub fn fold(pool: &mut PoolRow, row: &GrantRow) {
+    let key = holder_key(&row.holder);
+    for (budget, account) in &row.accounts {
+        let entry = pool.budgets.entry(budget.clone()).or_default();
+        entry.spent += account.charged;
+        entry.holders.remove(&key);
+        entry.unresolved.remove(&key);
+    }
 }
--- /dev/null
+++ b/crates/core/src/commit.rs
@@ -0,0 +1,249 @@
+//! Numbered commits of one holder in one shard.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    BudgetId, GrantLedger, HolderId, ShardId, Tokens,
+    budget::{GrantAccount, GrantRow, HolderKey, PoolRow, move_to_grant, move_to_pool},
+    segment::{ChargeLine, OpenRequest, SegmentRecord},
+};
+
+/// A numbered commit: the next row of a holder and, for moves, the next pool row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CommitPlan {
+    /// Grant row after the commit.
+    pub row: GrantRow,
+    /// Version that the grant row must have; 0 when it must be absent.
+    pub row_version: u64,
+    /// Pool row after the commit with the version that it must have, for moves.
+    pub pool: Option<(PoolRow, u64)>,
+}
+
+/// What is known of a commit after its outcome was read back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CommitState {
+    /// Took effect.
+    Applied,
+    /// Did not take effect and never will.
+    Void,
+    /// May still take effect; send the identical plan again.
+    Pending,
+    /// The row was closed; the holder must not spend any more.
+    Closed,
+}
+
+impl CommitPlan {
+    /// Judges the commit by the stored rows, given as version and value.
+    ///
+    /// A write whose response was lost may arrive late. It can no longer take effect once a
+    /// version that it expects has changed, so only then is it void.
+    pub fn judge(&self, row: Option<(u64, &GrantRow)>, pool_version: Option<u64>) -> CommitState {
+        match row {
+            Some((_, stored)) if stored.closed => return CommitState::Closed,
+            Some((_, stored)) if stored.step >= self.row.step => return CommitState::Applied,
+            None if self.row_version > 0 => return CommitState::Closed,
+            _ => {}
+        }
+        let row_version = row.map_or(0, |(version, _)| version);
+        let pool_moved = match (&self.pool, pool_version) {
+            (Some((_, expected)), Some(version)) => version != *expected,
+            _ => false,
+        };
+        if pool_moved || row_version != self.row_version {
+            CommitState::Void
+        } else {
+            CommitState::Pending
+        }
+    }
+}
+
+/// Move of tokens between the pool and a grant.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum GrantMove {
+    /// Takes at most this many free tokens.
+    Take(BudgetId, Tokens),
+    /// Returns at most this many spendable tokens.
+    Return(BudgetId, Tokens),
+}
+
+/// Commit state of one holder in one shard.
+///
+/// A segment and a plan, once built, stay as they are until they took effect or never can: a
+/// write whose response was lost may still arrive, and must then mean the same.
+#[derive(Clone, Debug)]
+pub struct ShardCommit {
+    shard: ShardId,
+    row: GrantRow,
+    version: u64,
+    segment: Option<SegmentRecord>,
+    plan: Option<CommitPlan>,
+    returns: BTreeMap<BudgetId, Tokens>,
+}
+
+impl ShardCommit {
+    /// Starts before the first commit.
+    pub fn new(shard: ShardId, holder: HolderId) -> Self {
+        Self {
+            shard,
+            row: GrantRow::new(holder),
+            version: 0,
+            segment: None,
+            plan: None,
+            returns: BTreeMap::new(),
+        }
+    }
+
+    /// Row of the last commit that took effect.
+    pub fn row(&self) -> &GrantRow {
+        &self.row
+    }
+
+    /// Version of the row; 0 before the first commit.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Commit whose outcome is not known, to be sent again unchanged.
+    pub fn plan(&self) -> Option<&CommitPlan> {
+        self.plan.as_ref()
+    }
+
+    /// Segment that must be in the object store before its charges are committed.
+    pub fn segment(&self) -> Option<&SegmentRecord> {
+        self.segment.as_ref()
+    }
+
+    /// Builds the next segment from charge lines, unless an earlier one is not committed yet.
+    pub fn freeze(&mut self, lines: &mut Vec<ChargeLine>, open: Vec<OpenRequest>) {
+        if self.segment.is_some() || lines.is_empty() {
+            return;
+        }
+        self.segment = Some(SegmentRecord {
+            holder: self.row.holder.clone(),
+            shard: self.shard,
+            seq: self.row.seq + 1,
+            lines: std::mem::take(lines),
+            open,
+        });
+    }
+
+    /// Whether transfers or closed peers are not committed yet.
+    pub fn has_transfers(&self, ledger: &GrantLedger, owns: impl Fn(&BudgetId) -> bool) -> bool {
+        let mut next = self.row.clone();
+        ledger.fill_row(&mut next, owns);
+        let accounts = next.accounts.iter().any(|(budget, account)| {
+            let stored = self.row.accounts.get(budget);
+            let same = |stored: &GrantAccount| {
+                stored.given == account.given && stored.received == account.received
+            };
+            !stored.map_or(
+                account.given.is_empty() && account.received.is_empty(),
+                same,
+            )
+        });
+        accounts || (self.version > 0 && next.closed_peers != self.row.closed_peers)
+    }
+
+    /// Builds the next commit, with the charges of the segment only when it is `stored`.
+    ///
+    /// Call only without a plan of unknown outcome.
+    pub fn build(
+        &mut self,
+        ledger: &mut GrantLedger,
+        owns: impl Fn(&BudgetId) -> bool,
+        pool: Option<(PoolRow, u64)>,
+        moves: &[GrantMove],
+        stored: bool,
+    ) -> CommitPlan {
+        let mut row = self.row.clone();
+        row.step += 1;
+        ledger.fill_row(&mut row, owns);
+        if let (true, Some(segment)) = (stored, &self.segment) {
+            row.seq = segment.seq;
+            for line in &segment.lines {
+                row.accounts.entry(line.budget.clone()).or_default().charged += line.tokens;
+            }
+        }
+        let pool = pool.map(|(mut pool, version)| {
+            for step in moves {
+                self.apply(ledger, &mut pool, &mut row, step);
+            }
+            (pool, version)
+        });
+        let plan = CommitPlan {
+            row,
+            row_version: self.version,
+            pool,
+        };
+        self.plan = Some(plan.clone());
+        plan
+    }
+
+    fn apply(
+        &mut self,
+        ledger: &mut GrantLedger,
+        pool: &mut PoolRow,
+        row: &mut GrantRow,
+        step: &GrantMove,
+    ) {
+        match step {
+            GrantMove::Take(budget, tokens) => {
+                let taken = move_to_grant(pool, row, budget, *tokens);
+                if let Some(account) = row.accounts.get_mut(budget) {
+                    account.transferable += taken;
+                }
+            }
+            GrantMove::Return(budget, tokens) => {
+                let tokens = ledger.begin_return(budget, *tokens);
+                *self.returns.entry(budget.clone()).or_default() += tokens;
+                let moved = move_to_pool(pool, row, budget, tokens);
+                if let Some(account) = row.accounts.get_mut(budget) {
+                    account.transferable = account.transferable.saturating_sub(moved);
+                }
+            }
+        }
+    }
+
+    /// Takes the outcome of the plan, with the version of the stored row.
+    pub fn resolve(&mut self, ledger: &mut GrantLedger, state: CommitState, version: u64) {
+        if state == CommitState::Pending {
+            return;
+        }
+        let Some(plan) = self.plan.take() else {
+            return;
+        };
+        let returns = std::mem::take(&mut self.returns);
+        match state {
+            CommitState::Applied => {
+                if plan.row.seq > self.row.seq {
+                    self.segment = None;
+                }
+                self.row = plan.row;
+                self.version = version;
+                ledger.committed(&self.row);
+            }
+            CommitState::Closed => ledger.close(),
+            CommitState::Void | CommitState::Pending => {
+                for (budget, tokens) in &returns {
+                    ledger.cancel_return(budget, *tokens);
+                }
+            }
+        }
+    }
+
+    /// Row that closes the account of a stopping holder whose requests have all ended.
+    pub fn build_close(&mut self, peers: impl IntoIterator<Item = HolderKey>) -> CommitPlan {
+        let mut row = self.row.clone();
+        row.step += 1;
+        row.closed = true;
+        row.exact = true;
+        row.closed_peers.extend(peers);
+        let plan = CommitPlan {
+            row,
+            row_version: self.version,
+            pool: None,
+        };
+        self.plan = Some(plan.clone());
+        plan
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod budget;
 pub mod choice;
 pub mod claim;
+pub mod commit;
 mod error;
 mod id;
 pub mod ledger;
@@ -23,6 +24,8 @@
 pub mod refusal;
 pub mod revision;
 pub mod segment;
+pub mod settle;
+pub mod sizing;
 pub mod token;
 
 pub use crate::{
--- /dev/null
+++ b/crates/core/tests/spend_settle.rs
@@ -0,0 +1,162 @@
+//! Guards against a settlement that bills on a guess, bills twice or returns tokens too early.
+
+use std::time::SystemTime;
+
+use jasminewall_core::{
+    EndpointId, HolderId, Tokens,
+    budget::{GrantAccount, GrantRow, PoolRow, can_fold, fold, holder_key},
+    segment::{ChargeLine, SegmentRecord},
+    settle::{ChargeEvidence, DeathEvidence, settle_row},
+};
+
+/// Dead holder with 500 tokens granted and 40 charged up to commit 1.
+fn dead_row() -> GrantRow {
+    let mut row = GrantRow::new(HolderId::new("vm-1", 1));
+    row.seq = 1;
+    row.closed = true;
+    let account = GrantAccount {
+        granted: 500,
+        charged: 40,
+        transferable: 460,
+        ..GrantAccount::default()
+    };
+    row.accounts.insert("glass".into(), account);
+    row
+}
+
+/// Live peer; `is_final` once it exchanges no more tokens with the dead holder.
+fn peer_row(received: Tokens, given: Tokens, is_final: bool) -> GrantRow {
+    let dead = holder_key(&dead_row().holder);
+    let mut row = GrantRow::new(HolderId::new("vm-2", 2));
+    let mut account = GrantAccount::default();
+    account.received.insert(dead.clone(), received);
+    account.given.insert(dead.clone(), given);
+    row.accounts.insert("glass".into(), account);
+    if is_final {
+        row.closed_peers.insert(dead);
+    }
+    row
+}
+
+fn segment(seq: u64, lines: &[(&str, Tokens)]) -> SegmentRecord {
+    let line = |(request, tokens): &(&str, Tokens)| ChargeLine {
+        request: (*request).into(),
+        customer: "parish".into(),
+        budget: "glass".into(),
+        route: "glass-7b".into(),
+        endpoint: None,
+        tokens: *tokens,
+        outcome: "ran".into(),
+        ended_at: SystemTime::UNIX_EPOCH,
+    };
+    SegmentRecord {
+        holder: dead_row().holder,
+        shard: 0,
+        seq,
+        lines: lines.iter().map(line).collect(),
+        open: Vec::new(),
+    }
+}
+
+fn charge(request: &str, tokens: Tokens) -> ChargeEvidence {
+    ChargeEvidence {
+        request: request.into(),
+        budget: "glass".into(),
+        tokens,
+    }
+}
+
+fn evidence(listed: &[(&str, &[(&str, Tokens)])]) -> DeathEvidence {
+    let mut evidence = DeathEvidence {
+        segments: vec![segment(1, &[("a", 40)])],
+        endpoints: ["engine-1", "engine-2"].map(EndpointId::from).into(),
+        ..DeathEvidence::default()
+    };
+    for (endpoint, charges) in listed {
+        let charges = charges.iter().map(|(name, tokens)| charge(name, *tokens));
+        evidence
+            .listed
+            .insert((*endpoint).into(), charges.collect());
+    }
+    evidence
+}
+
+/// Settles twice, since a repeat must change nothing, and describes the result.
+fn describe(name: &str, others: &[GrantRow], evidence: &DeathEvidence) -> String {
+    let mut row = dead_row();
+    let mut pool = PoolRow::default();
+    pool.budgets.entry("glass".into()).or_default().prepaid = 500;
+    let first = settle_row(&mut pool, &mut row, others, evidence);
+    let again = (pool.clone(), row.clone());
+    settle_row(&mut pool, &mut row, others, evidence);
+    assert_eq!(
+        again,
+        (pool.clone(), row.clone()),
+        "{name}: a repeat changes something"
+    );
+    let folds = can_fold(&row, others);
+    if folds {
+        fold(&mut pool, &row);
+    }
+    let entry = &pool.budgets["glass"];
+    let total = |map: &std::collections::BTreeMap<_, Tokens>| map.values().sum::<Tokens>();
+    format!(
+        "{name}\n  newly charged {}, returned {}, unresolved {}; folded {folds}; pool: free {}, \
+         spent {}, unresolved {:?}\n",
+        total(&first.charged),
+        total(&first.returned),
+        total(&first.unresolved),
+        entry.free,
+        entry.spent,
+        entry.unresolved
+    )
+}
+
+#[test]
+fn settlement_follows_the_evidence() {
+    let both: &[(&str, &[(&str, Tokens)])] = &[("engine-1", &[("a", 40)]), ("engine-2", &[])];
+    let mut beyond = evidence(both);
+    beyond.segments.push(segment(2, &[("b", 25), ("c", 5)]));
+    let mut resumed = evidence(&[("engine-1", &[("a", 40), ("d", 60)]), ("engine-2", &[])]);
+    resumed.resumed.push(charge("d", 60));
+    let mut partial = evidence(&[("engine-1", &[("a", 40), ("d", 60)])]);
+    partial.segments.push(segment(2, &[("b", 25)]));
+    let too_much = evidence(&[("engine-1", &[("a", 40), ("e", 470)]), ("engine-2", &[])]);
+    let mut dead_giver = GrantRow::new(HolderId::new("vm-3", 3));
+    (dead_giver.closed, dead_giver.exact) = (true, true);
+    let account = GrantAccount {
+        granted: 50,
+        transferable: 50,
+        ..GrantAccount::default()
+    };
+    dead_giver.accounts.insert("glass".into(), account);
+    let text = [
+        describe("no evidence", &[], &evidence(&[])),
+        describe("all endpoints list, nothing open", &[], &evidence(both)),
+        describe("segment beyond the committed number", &[], &beyond),
+        describe("resumed stream, also listed by its endpoint", &[], &resumed),
+        describe("one endpoint does not answer", &[], &partial),
+        describe(
+            "peer may still receive",
+            &[peer_row(0, 0, false)],
+            &evidence(both),
+        ),
+        describe(
+            "peer received 100, finally",
+            &[peer_row(100, 0, true)],
+            &evidence(both),
+        ),
+        describe(
+            "peer gave 30 that are not in the row",
+            &[peer_row(0, 30, true)],
+            &evidence(both),
+        ),
+        describe("proven use exceeds the known balance", &[], &too_much),
+        describe(
+            "the exceeding use was paid by a transfer",
+            &[peer_row(0, 30, true)],
+            &too_much,
+        ),
+    ];
+    insta::assert_snapshot!(text.concat());
+}
--- a/crates/router/src/spend.rs
+++ b/crates/router/src/spend.rs
@@ -224,11 +224,7 @@
 
 impl ShardRow {
     fn new(holder: &HolderId) -> Self {
-        let row = GrantRow {
-            holder: holder.clone(),
-            seq: 0,
-            accounts: BTreeMap::new(),
-        };
+        let row = GrantRow::new(holder.clone());
         Self { version: 0, row }
     }
 }
--- /dev/null
+++ b/crates/testkit/src/sim.rs
@@ -0,0 +1,3 @@
+//! Simulations in virtual time with fixed seeds.
+
+pub mod spend;
