Add decision logic for choice, admission, life, suspects and retries

Cause: the router picked the less loaded of two endpoints by held tokens, without classes, fairness, deadlines or a record of what may be said of an outcome.

Change: core gains the endpoint table with own observations and late reports, admission queues with reserved capacity and customer fairness, the request state machine on statig, crash counts per fingerprint and reporter, and the retry budget. The router uses the endpoint table for its choice.

Conclusion: the whole-path test still passes with the new choice.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -1,7 +1,15 @@
-//! Admission of requests by class of work.
+//! Admission of requests: classes with reserved capacity, fairness between customers, bounded
+//! queues and early refusal.
+
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    time::{Duration, Instant},
+};
 
 use serde::{Deserialize, Serialize};
 
+use crate::{CustomerId, RefusalCode, RouteId, Tokens};
+
 /// Class of work, by how long a caller can wait and how long the work runs.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
@@ -16,3 +24,437 @@
     /// Dossiers that can wait.
     Long,
 }
+
+impl WorkClass {
+    /// All classes, most urgent first.
+    pub const ALL: [Self; 3] = [Self::Short, Self::Normal, Self::Long];
+
+    fn index(self) -> usize {
+        self as usize
+    }
+
+    /// Largest share of the capacity that is reserved for the class, in percent.
+    fn reserve_percent(self) -> f64 {
+        match self {
+            Self::Short => 30.0,
+            Self::Normal => 20.0,
+            Self::Long => 20.0,
+        }
+    }
+}
+
+/// Waiting requests of one class, beyond which requests are refused.
+const QUEUE_LIMIT: usize = 256;
+/// Time constant of the recent peak that sizes a reservation. Load swings within seconds, so a
+/// reservation has to outlast the gap between two swings.
+const PEAK_DECAY: Duration = Duration::from_secs(8);
+/// Time constant of the measured token rate.
+const RATE_DECAY: Duration = Duration::from_secs(3);
+/// Service is counted in thousandths of a token per unit of weight.
+const SERVICE_SCALE: u64 = 1_000;
+/// Customers and routes whose lengths are remembered.
+const LENGTH_LIMIT: usize = 16_384;
+/// Weight of one more observation of a length. Lengths are heavy-tailed, so the estimate moves slowly.
+const LENGTH_GAIN: f64 = 0.05;
+/// Output expected of a customer and route that were never seen, in tokens.
+const LENGTH_DEFAULT: Tokens = 256;
+
+/// Learned length of answers per customer and route.
+#[derive(Debug, Default)]
+pub struct LengthTable {
+    means: HashMap<(CustomerId, RouteId), f64>,
+}
+
+impl LengthTable {
+    /// Expected output in tokens, at most `limit`.
+    pub fn expect(&self, customer: &CustomerId, route: &RouteId, limit: Tokens) -> Tokens {
+        let mean = self.means.get(&(customer.clone(), route.clone()));
+        mean.map_or(LENGTH_DEFAULT, |mean| *mean as Tokens)
+            .clamp(1, limit.max(1))
+    }
+
+    /// Learns the output of a request that ended.
+    pub fn learn(&mut self, customer: &CustomerId, route: &RouteId, output: Tokens) {
+        let key = (customer.clone(), route.clone());
+        if self.means.len() >= LENGTH_LIMIT && !self.means.contains_key(&key) {
+            self.means.clear();
+        }
+        let mean = self.means.entry(key).or_insert(output as f64);
+        *mean += (output as f64 - *mean) * LENGTH_GAIN;
+    }
+}
+
+/// A request that waits for admission.
+#[derive(Clone, Debug)]
+pub struct QueuedWork<T> {
+    /// Customer that sent it.
+    pub customer: CustomerId,
+    /// Share of the customer relative to others.
+    pub weight: u32,
+    /// Class of work.
+    pub class: WorkClass,
+    /// Expected work in tokens.
+    pub work: Tokens,
+    /// Time by which the answer must be whole.
+    pub deadline: Instant,
+    /// What the caller of the queue needs to go on.
+    pub item: T,
+}
+
+/// A request that the queue gives up; it did not run.
+#[derive(Debug)]
+pub struct RefusedWork<T> {
+    /// Request.
+    pub item: T,
+    /// Why it is refused.
+    pub code: RefusalCode,
+    /// When a retry may succeed.
+    pub retry_after: Duration,
+}
+
+/// What the queue hands out.
+#[derive(Debug)]
+pub enum QueueRelease<T, P> {
+    /// Run this request at the place that was picked for it.
+    Admit(QueuedWork<T>, P),
+    /// Refuse this request; its deadline can no longer be met.
+    Refuse(RefusedWork<T>),
+}
+
+/// Capacity that one router may use, as it knows it.
+#[derive(Clone, Copy, Debug)]
+pub struct CapacityView {
+    /// Requests that may run at once.
+    pub slots: f64,
+    /// Time for one token of one request.
+    pub token_time: Duration,
+}
+
+#[derive(Debug, Default)]
+struct ClassState {
+    running: u32,
+    peak: f64,
+    waiting: usize,
+}
+
+#[derive(Debug)]
+struct CustomerAccount<T> {
+    weight: u32,
+    service: u64,
+    running: u32,
+    queues: [VecDeque<QueuedWork<T>>; 3],
+    queued: [Tokens; 3],
+}
+
+/// Queues of one router for one set of endpoints.
+#[derive(Debug)]
+pub struct AdmissionQueue<T> {
+    classes: [ClassState; 3],
+    accounts: BTreeMap<CustomerId, CustomerAccount<T>>,
+    clock: u64,
+    rate: f64,
+    rate_at: Option<Instant>,
+    peak_at: Option<Instant>,
+}
+
+impl<T> Default for AdmissionQueue<T> {
+    fn default() -> Self {
+        Self {
+            classes: Default::default(),
+            accounts: BTreeMap::new(),
+            clock: 0,
+            rate: 0.0,
+            rate_at: None,
+            peak_at: None,
+        }
+    }
+}
+
+impl<T> CustomerAccount<T> {
+    fn new(weight: u32) -> Self {
+        Self {
+            weight: weight.max(1),
+            service: 0,
+            running: 0,
+            queues: Default::default(),
+            queued: [0; 3],
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        self.running == 0 && self.queues.iter().all(VecDeque::is_empty)
+    }
+
+    fn charge(&mut self, work: Tokens) -> u64 {
+        let cost = work * SERVICE_SCALE / u64::from(self.weight);
+        self.service += cost;
+        cost
+    }
+
+    fn load(&self, class: WorkClass) -> u64 {
+        self.queued[class.index()] * SERVICE_SCALE / u64::from(self.weight)
+    }
+}
+
+impl<T> AdmissionQueue<T> {
+    /// Queues a request, or refuses it when it cannot end in time or the queue is full.
+    ///
+    /// A full queue makes room for a customer with less waiting work by refusing the newest
+    /// request of the customer with the most, in proportion to their weights.
+    pub fn offer(
+        &mut self,
+        work: QueuedWork<T>,
+        view: CapacityView,
+        now: Instant,
+    ) -> Vec<RefusedWork<T>> {
+        let class = work.class;
+        let wait = self.expected_wait(&work.customer, work.weight, class, view);
+        if now + wait + run_time(work.work, view) > work.deadline {
+            return vec![RefusedWork {
+                item: work.item,
+                code: RefusalCode::DeadlineTooShort,
+                retry_after: wait,
+            }];
+        }
+        self.push(work);
+        let mut refused = Vec::new();
+        if self.classes[class.index()].waiting > QUEUE_LIMIT
+            && let Some(item) = self.evict(class)
+        {
+            refused.push(RefusedWork {
+                item,
+                code: RefusalCode::Overloaded,
+                retry_after: wait,
+            });
+        }
+        refused
+    }
+
+    /// Hands out the next request, most urgent class first and, within a class, from the customer
+    /// with the least service for its weight. `pick` finds a place for a request; while it finds
+    /// none, the request keeps its turn.
+    pub fn next<P>(
+        &mut self,
+        view: CapacityView,
+        now: Instant,
+        mut pick: impl FnMut(&QueuedWork<T>) -> Option<P>,
+    ) -> Option<QueueRelease<T, P>> {
+        self.decay_peaks(now);
+        for class in WorkClass::ALL {
+            let Some(customer) = self.next_customer(class) else {
+                continue;
+            };
+            let account = self.accounts.get_mut(&customer)?;
+            let head = account.queues[class.index()].front()?;
+            if now + run_time(head.work, view) > head.deadline {
+                let work = self.pop(&customer, class)?;
+                return Some(QueueRelease::Refuse(RefusedWork {
+                    item: work.item,
+                    code: RefusalCode::DeadlineTooShort,
+                    retry_after: Duration::ZERO,
+                }));
+            }
+            if !self.has_room(class, view) {
+                continue;
+            }
+            let account = self.accounts.get(&customer)?;
+            let head = account.queues[class.index()].front()?;
+            let Some(place) = pick(head) else { continue };
+            let work = self.pop(&customer, class)?;
+            self.start(&work);
+            return Some(QueueRelease::Admit(work, place));
+        }
+        None
+    }
+
+    /// Counts the end of an admitted request. `actual` replaces the expected work in the
+    /// customer's service, so that a customer with misjudged lengths gets no advantage.
+    pub fn finish(
+        &mut self,
+        customer: &CustomerId,
+        class: WorkClass,
+        expected: Tokens,
+        actual: Tokens,
+    ) {
+        let state = &mut self.classes[class.index()];
+        state.running = state.running.saturating_sub(1);
+        let Some(account) = self.accounts.get_mut(customer) else {
+            return;
+        };
+        account.running = account.running.saturating_sub(1);
+        if actual > expected {
+            account.charge(actual - expected);
+        } else {
+            let refund = (expected - actual) * SERVICE_SCALE / u64::from(account.weight);
+            account.service = account.service.saturating_sub(refund);
+        }
+    }
+
+    /// Counts generated tokens towards the measured rate.
+    pub fn progress(&mut self, tokens: Tokens, now: Instant) {
+        let elapsed = self
+            .rate_at
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.rate *= (-elapsed.as_secs_f64() / RATE_DECAY.as_secs_f64()).exp();
+        self.rate += tokens as f64 / RATE_DECAY.as_secs_f64();
+        self.rate_at = Some(now);
+    }
+
+    /// Number of requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.classes.iter().map(|class| class.waiting).sum()
+    }
+
+    /// Number of admitted requests of a class that have not ended.
+    pub fn running(&self, class: WorkClass) -> u32 {
+        self.classes[class.index()].running
+    }
+
+    /// Removes a waiting request, for a caller that left; `None` when it does not wait.
+    pub fn remove(
+        &mut self,
+        customer: &CustomerId,
+        class: WorkClass,
+        found: impl Fn(&T) -> bool,
+    ) -> Option<QueuedWork<T>> {
+        let account = self.accounts.get_mut(customer)?;
+        let queue = &mut account.queues[class.index()];
+        let index = queue.iter().position(|work| found(&work.item))?;
+        let work = queue.remove(index)?;
+        account.queued[class.index()] -= work.work;
+        self.classes[class.index()].waiting -= 1;
+        Some(work)
+    }
+
+    fn expected_wait(
+        &self,
+        customer: &CustomerId,
+        weight: u32,
+        class: WorkClass,
+        view: CapacityView,
+    ) -> Duration {
+        let urgent = &WorkClass::ALL[..=class.index()];
+        let ahead = |account: &CustomerAccount<T>| -> Tokens {
+            urgent
+                .iter()
+                .map(|class| account.queued[class.index()])
+                .sum()
+        };
+        let own = self.accounts.get(customer).map_or(0, ahead);
+        if own == 0 {
+            return Duration::ZERO;
+        }
+        let active = self.accounts.values().filter(|account| ahead(account) > 0);
+        let (weights, total) = active.fold((0.0, 0), |(weights, total), account| {
+            (weights + f64::from(account.weight), total + ahead(account))
+        });
+        let share = f64::from(weight.max(1)) / weights;
+        let work = (own as f64 / share).min(total as f64);
+        let capacity = view.slots / view.token_time.as_secs_f64().max(1e-6);
+        // The measured rate includes other routers' use of the endpoints; the configured capacity
+        // covers the time before enough was measured.
+        let rate = if self.rate > capacity * 0.1 {
+            self.rate
+        } else {
+            capacity
+        };
+        Duration::from_secs_f64((work / rate.max(1.0)).min(3_600.0))
+    }
+
+    fn push(&mut self, work: QueuedWork<T>) {
+        let clock = self.clock;
+        let account = self
+            .accounts
+            .entry(work.customer.clone())
+            .or_insert_with(|| CustomerAccount::new(work.weight));
+        account.weight = work.weight.max(1);
+        if account.is_idle() {
+            // A customer cannot save up service while it sends nothing.
+            account.service = account.service.max(clock);
+        }
+        let index = work.class.index();
+        account.queued[index] += work.work;
+        account.queues[index].push_back(work);
+        self.classes[index].waiting += 1;
+    }
+
+    fn pop(&mut self, customer: &CustomerId, class: WorkClass) -> Option<QueuedWork<T>> {
+        let account = self.accounts.get_mut(customer)?;
+        let work = account.queues[class.index()].pop_front()?;
+        account.queued[class.index()] -= work.work;
+        self.classes[class.index()].waiting -= 1;
+        Some(work)
+    }
+
+    fn start(&mut self, work: &QueuedWork<T>) {
+        let state = &mut self.classes[work.class.index()];
+        state.running += 1;
+        state.peak = state.peak.max(f64::from(state.running));
+        if let Some(account) = self.accounts.get_mut(&work.customer) {
+            self.clock = self.clock.max(account.service);
+            account.running += 1;
+            account.charge(work.work);
+        }
+    }
+
+    fn next_customer(&self, class: WorkClass) -> Option<CustomerId> {
+        if self.classes[class.index()].waiting == 0 {
+            return None;
+        }
+        let waiting = self
+            .accounts
+            .iter()
+            .filter(|(_, account)| !account.queues[class.index()].is_empty());
+        waiting
+            .min_by_key(|(_, account)| account.service)
+            .map(|(customer, _)| customer.clone())
+    }
+
+    fn evict(&mut self, class: WorkClass) -> Option<T> {
+        let heaviest = self
+            .accounts
+            .iter()
+            .max_by_key(|(_, account)| account.load(class));
+        let customer = heaviest?.0.clone();
+        let account = self.accounts.get_mut(&customer)?;
+        let work = account.queues[class.index()].pop_back()?;
+        account.queued[class.index()] -= work.work;
+        self.classes[class.index()].waiting -= 1;
+        Some(work.item)
+    }
+
+    /// Whether a class may start a request without taking what is reserved for the others.
+    fn has_room(&self, class: WorkClass, view: CapacityView) -> bool {
+        let mut free = view.slots;
+        for other in WorkClass::ALL {
+            let running = f64::from(self.classes[other.index()].running);
+            free -= if other == class {
+                running
+            } else {
+                running.max(self.reserve(other, view))
+            };
+        }
+        free >= 1.0 || f64::from(self.running(class)) + 1.0 <= self.reserve(class, view)
+    }
+
+    /// Slots reserved for a class: its recent peak, within its share of the capacity.
+    fn reserve(&self, class: WorkClass, view: CapacityView) -> f64 {
+        let share = view.slots * class.reserve_percent() / 100.0;
+        self.classes[class.index()].peak.min(share)
+    }
+
+    fn decay_peaks(&mut self, now: Instant) {
+        let elapsed = self
+            .peak_at
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let factor = (-elapsed.as_secs_f64() / PEAK_DECAY.as_secs_f64()).exp();
+        for state in &mut self.classes {
+            state.peak = (state.peak * factor).max(f64::from(state.running));
+        }
+        self.peak_at = Some(now);
+    }
+}
+
+fn run_time(work: Tokens, view: CapacityView) -> Duration {
+    Duration::from_secs_f64(work as f64 * view.token_time.as_secs_f64())
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,10 +19,13 @@
 mod error;
 mod id;
 pub mod ledger;
+pub mod life;
 pub mod record;
 pub mod refusal;
+pub mod retry;
 pub mod revision;
 pub mod segment;
+pub mod suspect;
 pub mod token;
 
 pub use crate::{
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Instant,
 };
 
@@ -19,7 +19,7 @@
     jasminewall_core::{
         ConfigRecord, CustomerId, EndpointId, RecordKind, Refusal, RefusalCode, RequestId, Tokens,
         admission::WorkClass,
-        choice::{EndpointView, choose},
+        choice::{EndpointPool, EndpointTable, WorkId, WorkNeed},
         record::{EndpointRecord, RouteRecord},
     },
     jasminewall_wire::SuspectReport,
@@ -30,40 +30,21 @@
 /// What the router knows of endpoints.
 pub(crate) struct RoutingTable {
     client: Client<HttpConnector, Body>,
-    outstanding: Mutex<HashMap<EndpointId, Tokens>>,
+    endpoints: Mutex<EndpointTable>,
 }
 
 impl RoutingTable {
     pub(crate) fn new() -> Self {
         Self {
             client: Client::builder(TokioExecutor::new()).build_http(),
-            outstanding: Mutex::default(),
+            endpoints: Mutex::default(),
         }
     }
 
-    fn add(&self, endpoint: &EndpointId, work: Tokens) {
-        let mut outstanding = self
-            .outstanding
+    fn endpoints(&self) -> MutexGuard<'_, EndpointTable> {
+        self.endpoints
             .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        *outstanding.entry(endpoint.clone()).or_default() += work;
-    }
-
-    fn remove(&self, endpoint: &EndpointId, work: Tokens) {
-        let mut outstanding = self
-            .outstanding
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let entry = outstanding.entry(endpoint.clone()).or_default();
-        *entry = entry.saturating_sub(work);
-    }
-
-    fn of(&self, endpoint: &EndpointId) -> Tokens {
-        let outstanding = self
-            .outstanding
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        outstanding.get(endpoint).copied().unwrap_or_default()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -108,23 +89,30 @@
 pub(crate) struct WorkGuard {
     state: Arc<RouterState>,
     endpoint: EndpointId,
-    work: Tokens,
+    work: WorkId,
 }
 
 impl WorkGuard {
     /// Notes that the endpoint sent part of the answer.
-    pub(crate) fn progress(&mut self) {}
+    pub(crate) fn progress(&mut self) {
+        let mut table = self.state.routing.endpoints();
+        table.progress(&self.endpoint, self.work, 1, Instant::now());
+    }
 
     /// Notes that the whole answer arrived.
     pub(crate) fn complete(self) {}
 
     /// Notes that the endpoint broke off.
-    pub(crate) fn fail(self) {}
+    pub(crate) fn fail(self) {
+        let mut table = self.state.routing.endpoints();
+        table.fail(&self.endpoint, self.work, Instant::now());
+    }
 }
 
 impl Drop for WorkGuard {
     fn drop(&mut self) {
-        self.state.routing.remove(&self.endpoint, self.work);
+        let mut table = self.state.routing.endpoints();
+        table.finish(&self.endpoint, self.work, None, Instant::now());
     }
 }
 
@@ -137,7 +125,7 @@
     state: &Arc<RouterState>,
     job: &DispatchJob,
 ) -> Result<DispatchAnswer, Refusal> {
-    let endpoint = pick(state, job)?;
+    let (endpoint, work) = pick(state, job)?;
     let mut outgoing = Request::builder()
         .method(job.method.clone())
         .uri(format!("http://{}{}", endpoint.address, job.path))
@@ -145,11 +133,10 @@
         .map_err(|_| RefusalCode::InvalidRequest)?;
     *outgoing.headers_mut() = job.headers.clone();
     spend::note_endpoint(state, &job.request, &endpoint.name);
-    state.routing.add(&endpoint.name, job.work);
     let guard = WorkGuard {
         state: state.clone(),
         endpoint: endpoint.name.clone(),
-        work: job.work,
+        work,
     };
     match state.routing.client.request(outgoing).await {
         Ok(response) => Ok(DispatchAnswer {
@@ -178,42 +165,50 @@
 }
 
 /// Chooses an endpoint of a route and logs the decision.
-fn pick(state: &RouterState, job: &DispatchJob) -> Result<EndpointRecord, Refusal> {
+fn pick(state: &RouterState, job: &DispatchJob) -> Result<(EndpointRecord, WorkId), Refusal> {
     let config = state.fleet.config();
-    let records: Vec<&EndpointRecord> = job
+    let records: HashMap<&EndpointId, &EndpointRecord> = job
         .route
         .endpoints
         .iter()
         .filter_map(|name| match config.get(RecordKind::Endpoint, name) {
-            Some(ConfigRecord::Endpoint(record)) if !record.leaving => Some(record),
+            Some(ConfigRecord::Endpoint(record)) if !record.leaving => Some((name, record)),
             _ => None,
         })
         .collect();
-    let views: Vec<EndpointView> = records
+    let members = records
         .iter()
-        .map(|record| EndpointView {
-            endpoint: record.name.clone(),
-            outstanding: state.routing.of(&record.name),
-        })
-        .collect();
-    let choice = choose(&views, &mut rand::rng()).ok_or(RefusalCode::NoEndpoint)?;
+        .map(|(name, record)| ((*name).clone(), record.slots));
+    let mut pool = EndpointPool::new(members);
+    let need = WorkNeed {
+        class: job.class,
+        work: job.work,
+        prompt: job.body.len() as Tokens,
+        prefix: None,
+        isolate: false,
+        avoid: &[],
+    };
+    let now = Instant::now();
+    let mut table = state.routing.endpoints();
+    let choice = table
+        .choose(&mut pool, &need, |_| true, now, &mut rand::rng())
+        .ok_or(RefusalCode::NoEndpoint)?;
     tracing::info!(
         request = %job.request,
         customer = %job.customer,
         route = %job.route.name,
         class = ?job.class,
         fingerprint = job.fingerprint,
-        time_left = ?job.deadline.saturating_duration_since(Instant::now()),
+        time_left = ?job.deadline.saturating_duration_since(now),
         revision = config.revision(),
         choice = %choice.endpoint,
         runner_up = choice.runner_up.as_deref().unwrap_or("none"),
-        reason = "least outstanding of two",
+        reason = choice.reason.as_str(),
         "endpoint chosen"
     );
     let record = records
-        .into_iter()
-        .find(|record| record.name == choice.endpoint);
-    record
-        .cloned()
-        .ok_or_else(|| RefusalCode::NoEndpoint.into())
+        .get(&choice.endpoint)
+        .ok_or(RefusalCode::NoEndpoint)?;
+    let work = table.begin(&choice.endpoint, &need, now);
+    Ok(((*record).clone(), work))
 }
