--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,13 +20,16 @@
 mod error;
 mod id;
 pub mod ledger;
+pub mod life;
 pub mod record;
 pub mod refusal;
+pub mod retry;
 pub mod revision;
 pub mod segment;
-pub mod stop;
 pub mod settle;
 pub mod sizing;
+pub mod stop;
+pub mod suspect;
 pub mod token;
 
 pub use crate::{
--- a/crates/testkit/examples/capacity.rs
+++ b/crates/testkit/examples/capacity.rs
@@ -3,7 +3,6 @@
 //! Run it with `cargo run --release -p jasminewall-testkit --example capacity`.
 
 use std::{
-    collections::BTreeMap,
     hint::black_box,
     time::{Duration, Instant, SystemTime},
 };
@@ -202,12 +201,12 @@
 }
 
 fn measure_rows() {
-    let row_of = |count: usize| GrantRow {
-        holder: HolderId::new("vm-1", 1),
-        seq: 9,
-        accounts: (0..count)
+    let row_of = |count: usize| {
+        let mut row = GrantRow::new(HolderId::new("vm-1", 1));
+        row.accounts = (0..count)
             .map(|index| (format!("budget-{index:06}").into(), GrantAccount::default()))
-            .collect::<BTreeMap<_, _>>(),
+            .collect();
+        row
     };
     let size = |count| serde_json::to_string(&row_of(count)).map_or(0, |text| text.len()) as f64;
     let slope = (size(800) - size(400)) / 400.0;
