--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,8 @@
 mod id;
 pub mod ledger;
 pub mod life;
+pub mod member;
+pub mod order;
 pub mod record;
 pub mod refusal;
 pub mod retry;
@@ -41,5 +43,5 @@
     ledger::GrantLedger,
     record::{ConfigRecord, RecordKind},
     refusal::{Refusal, RefusalCode},
-    revision::{ConfigDelta, ConfigState},
+    revision::{ConfigDelta, ConfigFollower, ConfigState},
 };
