--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -5,7 +5,7 @@
     sha2::{Digest, Sha256},
 };
 
-use crate::{HolderId, RequestId, Tokens};
+use crate::{HolderId, RefusalCode, RequestId, Tokens};
 
 /// Key of the claim row of a customer's idempotency key.
 pub fn claim_key(customer: &str, key: &str) -> String {
@@ -50,3 +50,48 @@
     /// The outcome is unknown and the request is never run again.
     Unknown,
 }
+
+/// What the router that reads a claim row knows of the holder in it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HolderView {
+    /// This router, and the request is running or its outcome is not recorded yet.
+    Running,
+    /// This router, and it never dispatched the request.
+    NotDispatched,
+    /// Another router that answers probes.
+    Alive,
+    /// Another router that does not answer, or an earlier run of one that does.
+    Silent,
+}
+
+/// What a request with an idempotency key may do, given the row of that key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClaimDecision {
+    /// Claim the key anew, replacing the row.
+    Claim,
+    /// Send the recorded answer.
+    Answer,
+    /// Refuse.
+    Refuse(RefusalCode),
+}
+
+impl ClaimRow {
+    /// Decides what a request with a fingerprint may do.
+    pub fn decide(&self, fingerprint: &str, holder: HolderView) -> ClaimDecision {
+        if self.fingerprint != fingerprint {
+            return ClaimDecision::Refuse(RefusalCode::KeyReused);
+        }
+        match (&self.state, holder) {
+            (ClaimState::Ran { .. }, _) => ClaimDecision::Answer,
+            (ClaimState::NotRun, _) | (ClaimState::Open, HolderView::NotDispatched) => {
+                ClaimDecision::Claim
+            }
+            (ClaimState::Open, HolderView::Running | HolderView::Alive) => {
+                ClaimDecision::Refuse(RefusalCode::KeyInProgress)
+            }
+            (ClaimState::Open, HolderView::Silent) | (ClaimState::Unknown, _) => {
+                ClaimDecision::Refuse(RefusalCode::MayHaveRun)
+            }
+        }
+    }
+}
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -72,6 +72,8 @@
     UnsupportedMediaType = "unsupported_media_type", 415, No, "Send the body as 'application/json'.";
     /// The body did not arrive in time.
     RequestTimeout = "request_timeout", 408, No, "The request body did not arrive in time.";
+    /// The headers are more or larger than the limit.
+    HeadersTooLarge = "headers_too_large", 431, No, "The request has more or larger headers than the limit.";
     /// The path is not served.
     UnknownPath = "unknown_path", 404, No, "The path or method is not served here.";
     /// No route serves the model or service.
@@ -92,6 +94,14 @@
     EndpointFailed = "endpoint_failed", 502, Unknown, "The endpoint failed while it had the request; it may have run.";
     /// The answer did not arrive.
     OutcomeUnknown = "outcome_unknown", 502, Unknown, "The connection to the endpoint was lost after the request was sent; it may have run and will not be run again.";
+    /// The answer did not end within the time limit of the route.
+    AnswerTimeout = "answer_timeout", 504, Unknown, "The answer did not end within the time limit of the route or of the request; it may have run and will not be run again.";
+    /// The answer is larger than the limit of the route.
+    AnswerTooLarge = "answer_too_large", 502, Yes, "The request ran, but its answer is larger than the limit of the route.";
+    /// The endpoint sent an answer that is not of this request or not whole.
+    AnswerInvalid = "answer_invalid", 502, Unknown, "The endpoint sent an answer that is broken or belongs to another request, so it was withheld; the request may have run.";
+    /// The router failed while it had the request.
+    InternalError = "internal_error", 500, Unknown, "The router failed while it had the request; it may have run.";
     /// The request crashed endpoints before.
     CrashesEndpoints = "crashes_endpoints", 422, Yes, "The request ran twice, the endpoint failed both times; it will not be run again.";
     /// A non-idempotent request needs a key.
@@ -106,6 +116,10 @@
     ClaimsUnavailable = "claims_unavailable", 503, No, "The platform cannot record the request now, so it was not run; try again, or use a ticket.";
     /// The ticket names a router run that is gone.
     TicketVoid = "ticket_void", 410, Unknown, "The router that the ticket names is gone; the ticket can never run again.";
+    /// The ticket is malformed, expired or of another customer or route.
+    TicketInvalid = "ticket_invalid", 400, No, "The ticket is not valid for this customer and route; send it exactly as received, within an hour.";
+    /// The router that the ticket names cannot be reached.
+    TicketHolderUnreachable = "ticket_holder_unreachable", 503, Unknown, "The router that the ticket names cannot be reached now; this attempt did not run, an earlier one with the ticket may have.";
     /// The resume token is not valid.
     ResumeInvalid = "resume_invalid", 400, No, "The resume token is not valid for this customer; send it exactly as received.";
     /// The stream cannot be resumed.
@@ -143,6 +157,13 @@
         self
     }
 
+    /// Names the tokens charged in spite of the refusal.
+    #[must_use]
+    pub fn charged(mut self, tokens: Tokens) -> Self {
+        self.charged = tokens;
+        self
+    }
+
     /// Names the time after which a retry may succeed.
     #[must_use]
     pub fn retry_after(mut self, wait: Duration) -> Self {
--- a/crates/core/src/token.rs
+++ b/crates/core/src/token.rs
@@ -1,19 +1,33 @@
 //! Signed tokens that a caller carries between routers.
 
+use std::net::SocketAddr;
+
 use {
     hmac::{Hmac, Mac},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     sha2::Sha256,
+    smol_str::SmolStr,
 };
 
 use crate::{
-    BudgetId, Category, CustomerId, EndpointId, Error, HolderId, RequestId, Result, Tokens,
+    BudgetId, Category, CustomerId, EndpointId, Error, HolderId, RequestId, Result, RouteId, Tokens,
 };
 
+/// Token that a caller carries; the variant is part of the signed text, so that a token of one
+/// purpose is never accepted for the other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "purpose", rename_all = "snake_case")]
+pub enum CallerToken {
+    /// Resumes an engine stream.
+    Resume(ResumeToken),
+    /// Allows one run at one router.
+    Ticket(RunTicket),
+}
+
 /// Names an engine stream that a caller may resume through any router.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ResumeToken {
-    /// Request that started the stream.
+    /// Request that started the stream; the engine keeps the stream under this id.
     pub request: RequestId,
     /// Customer that may resume it.
     pub customer: CustomerId,
@@ -27,6 +41,25 @@
     pub hold: Tokens,
 }
 
+/// Allows one run of a request at the one router run that issued it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunTicket {
+    /// Id of the ticket, unique over the fleet.
+    pub id: SmolStr,
+    /// Customer that may use it.
+    pub customer: CustomerId,
+    /// Budget that pays.
+    pub budget: BudgetId,
+    /// Route that it is for.
+    pub route: RouteId,
+    /// Router run that may run the request.
+    pub holder: HolderId,
+    /// Address of the caller interface of that router.
+    pub address: SocketAddr,
+    /// End of validity, in milliseconds of the holder's monotonic clock since its start.
+    pub until_ms: u64,
+}
+
 /// Signs a value with the fleet secret: hex of the JSON text, a dot, hex of its HMAC-SHA-256.
 ///
 /// # Errors
--- a/crates/router/src/api.rs
+++ b/crates/router/src/api.rs
@@ -1,392 +1,273 @@
 //! HTTP interface for callers.
 
 use std::{
-    sync::Arc,
+    future::Future,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
 use {
     axum::{
         Json, Router,
-        body::{Body, Bytes},
-        extract::{DefaultBodyLimit, Path, State},
-        http::{HeaderMap, HeaderValue, Method, StatusCode, Uri, header},
-        response::{IntoResponse, Response},
+        body::Body,
+        extract::{Request, State},
+        http::StatusCode,
+        middleware::{self, Next},
+        response::Response,
         routing::{any, get, post},
     },
-    http_body_util::BodyExt,
-    jasminewall_core::{
-        BudgetId, ConfigRecord, ConfigState, CustomerId, RecordKind, Refusal, RefusalCode,
-        RequestId, Tokens, record::RouteRecord, refusal::RunState,
+    hyper_util::{
+        client::legacy::{Client, connect::HttpConnector},
+        rt::{TokioExecutor, TokioIo, TokioTimer},
+        server::{conn::auto, graceful::GracefulShutdown},
+        service::TowerToHyperService,
     },
+    jasminewall_core::{ConfigRecord, Refusal, RefusalCode, RequestId, record::EndpointKind},
     serde_json::{Value, json},
-    sha2::{Digest, Sha256},
-    tokio::net::TcpListener,
+    tokio::net::{TcpListener, TcpStream},
+    tokio_util::task::TaskTracker,
 };
 
-use crate::{
-    dispatch::{self, DispatchAnswer, DispatchJob},
-    spend::{self, HoldRequest, RequestEnd},
-    state::RouterState,
-};
+use crate::state::RouterState;
 
-/// Largest request body, in bytes.
-const BODY_LIMIT: usize = 4 << 20;
+mod auth;
+mod completions;
+mod execute;
+mod once;
+mod problems;
+mod relay;
+mod resume;
+mod services;
+mod sse;
+mod tickets;
 
-/// Serves callers until the router stops and the running requests have ended.
-pub(crate) async fn run(state: Arc<RouterState>, listener: TcpListener) {
-    let stop = state.stop.clone();
-    let app = Router::new()
-        .route("/v1/chat/completions", post(complete))
-        .route("/v1/models", get(models))
-        .route("/svc/{route}/{*path}", any(forward))
-        .route("/healthz", get(|| async { "ok" }))
-        .route("/readyz", get(ready))
-        .fallback(|| async { problem(None, &RefusalCode::UnknownPath.into()) })
-        .layer(DefaultBodyLimit::max(BODY_LIMIT))
-        .with_state(state);
-    let served = axum::serve(listener, app)
-        .with_graceful_shutdown(stop.cancelled_owned())
-        .await;
-    if let Err(error) = served {
-        tracing::error!(%error, "the listener for callers failed");
-    }
+/// Longest time to connect to an engine or router; a partition would otherwise hold callers.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Read buffer of one connection, in bytes; bounds headers that are refused without being parsed.
+const CONNECTION_BUFFER: usize = 256 << 10;
+/// Headers that hyper parses at most; the lower limit of the settings gets problem details.
+const HEADER_COUNT_MAX: usize = 512;
+
+/// Interface for callers of one router.
+pub(crate) struct CallerApi {
+    state: Arc<RouterState>,
+    /// Makes a new connection for each call: used where an open connection may have gone silent.
+    client: Client<HttpConnector, Body>,
+    /// Requests that run on after their caller left, until they are charged.
+    tracker: TaskTracker,
+    auth: auth::AuthTable,
+    claims: once::ClaimTable,
+    tickets: tickets::TicketTable,
+    open: AtomicU64,
 }
 
-/// Renders a refusal as problem details (RFC 9457).
-pub(crate) fn problem(request: Option<&RequestId>, refusal: &Refusal) -> Response {
-    let code = refusal.code;
-    let detail = refusal.note.as_deref().unwrap_or(code.detail());
-    let body = json!({
-        "type": format!("urn:jasminewall:problem:{}", code.as_str()),
-        "title": code.as_str().replace('_', " "), "status": code.status(), "code": code.as_str(),
-        "detail": detail, "ran": code.ran(), "charged": refusal.charged, "request": request,
-    });
-    let status = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let mut response = (status, body.to_string()).into_response();
-    let headers = response.headers_mut();
-    headers.insert(
-        header::CONTENT_TYPE,
-        HeaderValue::from_static("application/problem+json"),
-    );
-    if let Some(wait) = refusal.retry_after {
-        headers.insert(
-            header::RETRY_AFTER,
-            HeaderValue::from(wait.as_secs().max(1)),
-        );
+impl CallerApi {
+    fn new(state: Arc<RouterState>) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        Self {
+            state,
+            client: Client::builder(TokioExecutor::new())
+                .pool_max_idle_per_host(0)
+                .build(connector),
+            tracker: TaskTracker::new(),
+            auth: auth::AuthTable::default(),
+            claims: once::ClaimTable::default(),
+            tickets: tickets::TicketTable::default(),
+            open: AtomicU64::new(0),
+        }
     }
-    tracing::info!(
-        request = request.map_or("none", |id| id.as_str()),
-        code = code.as_str(),
-        "request refused"
-    );
-    response
-}
 
-async fn ready(State(state): State<Arc<RouterState>>) -> StatusCode {
-    if state.is_ready() {
-        StatusCode::OK
-    } else {
-        StatusCode::SERVICE_UNAVAILABLE
+    /// Runs a request in its own task, so that it is charged even when its caller leaves.
+    async fn answer<F>(self: Arc<Self>, id: RequestId, run: F) -> Response
+    where
+        F: Future<Output = Result<Response, Refusal>> + Send + 'static,
+    {
+        let guard = OpenGuard::new(self.clone());
+        let task = self.tracker.spawn(async move {
+            let _guard = guard;
+            run.await
+        });
+        let result = task.await;
+        let refusal = match result {
+            Ok(Ok(response)) => return response,
+            Ok(Err(refusal)) => refusal,
+            Err(error) => {
+                tracing::error!(request = %id, %error, "a request ended by a fault of the router");
+                RefusalCode::InternalError.into()
+            }
+        };
+        self.refuse(Some(&id), &refusal)
     }
-}
 
-async fn models(State(state): State<Arc<RouterState>>) -> Json<Value> {
-    let config = state.fleet.config();
-    let routes = config.records().filter_map(|record| match record {
-        ConfigRecord::Route(route) if route.price == 0 => Some(
-            json!({"id": route.name, "object": "model", "created": 0, "owned_by": "jasminewall"}),
-        ),
-        _ => None,
-    });
-    Json(json!({"object": "list", "data": routes.collect::<Vec<_>>()}))
+    /// Logs, counts and renders a refusal.
+    fn refuse(&self, request: Option<&RequestId>, refusal: &Refusal) -> Response {
+        tracing::info!(
+            request = request.map_or("none", |id| id.as_str()),
+            code = refusal.code.as_str(),
+            charged = refusal.charged,
+            "request refused"
+        );
+        self.state.metrics.refused(refusal.code.as_str());
+        problems::render(request, refusal)
+    }
 }
 
-/// A caller's request after authentication.
-struct CallerRequest {
-    id: RequestId,
-    customer: CustomerId,
-    budget: BudgetId,
-    route: RouteRecord,
+/// Counts a request as open until it is answered or its stream has started.
+struct OpenGuard {
+    api: Arc<CallerApi>,
 }
 
-async fn complete(
-    State(state): State<Arc<RouterState>>,
-    headers: HeaderMap,
-    body: Bytes,
-) -> Response {
-    let id = state.new_request();
-    match run_completion(&state, id.clone(), &headers, &body).await {
-        Ok(response) => response,
-        Err(refusal) => problem(Some(&id), &refusal),
+impl OpenGuard {
+    fn new(api: Arc<CallerApi>) -> Self {
+        let open = api.open.fetch_add(1, Ordering::Relaxed) + 1;
+        api.state.metrics.open(open);
+        Self { api }
     }
 }
 
-async fn run_completion(
-    state: &Arc<RouterState>,
-    id: RequestId,
-    headers: &HeaderMap,
-    body: &Bytes,
-) -> Result<Response, Refusal> {
-    let invalid = |note: String| Refusal::new(RefusalCode::InvalidRequest).note(note);
-    let mut payload: Value = serde_json::from_slice(body)
-        .map_err(|error| invalid(format!("The body is not valid JSON: {error}.")))?;
-    let model = payload["model"]
-        .as_str()
-        .ok_or_else(|| invalid("Name the 'model'.".into()))?
-        .to_owned();
-    let request = authorize(state, id, headers, &model)?;
-    let wanted = payload["max_completion_tokens"]
-        .as_u64()
-        .or_else(|| payload["max_tokens"].as_u64());
-    let output = wanted
-        .unwrap_or(request.route.max_output)
-        .min(request.route.max_output);
-    if wanted != Some(output) {
-        payload["max_tokens"] = json!(output);
-    }
-    if payload["stream"].as_bool().unwrap_or(false) {
-        payload["stream_options"]["include_usage"] = json!(true);
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        let open = self.api.open.fetch_sub(1, Ordering::Relaxed) - 1;
+        self.api.state.metrics.open(open);
     }
-    let work = body.len() as Tokens + output;
-    let body = Bytes::from(payload.to_string());
-    let job = job_of(&request, work, Method::POST, "/v1/chat/completions", body);
-    let answer = hold_and_execute(state, &request, &job).await?;
-    let kind = answer.response.headers().get(header::CONTENT_TYPE);
-    if kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream")) {
-        let stream = relay_stream(state.clone(), request, answer);
-        return Ok(Response::builder()
-            .header(header::CONTENT_TYPE, "text/event-stream")
-            .body(Body::from_stream(stream))
-            .unwrap_or_default());
-    }
-    let (status, whole) = collect(state, &request, work, answer).await?;
-    let charged = usage_of(&whole).unwrap_or(0);
-    Ok(answer_with_cost(state, &request, status, whole, charged))
 }
 
-/// Holds the worst case and sends the job; frees the hold when the job surely did not run.
-async fn hold_and_execute(
-    state: &Arc<RouterState>,
-    request: &CallerRequest,
-    job: &DispatchJob,
-) -> Result<DispatchAnswer, Refusal> {
-    let hold = HoldRequest {
-        request: request.id.clone(),
-        customer: request.customer.clone(),
-        budget: request.budget.clone(),
-        route: request.route.name.clone(),
-        amount: job.work,
-    };
-    spend::hold(state, &hold).await?;
-    let answer = dispatch::execute(state, job).await;
-    if let Err(refusal) = &answer {
-        let (charged, end) = match refusal.code.ran() {
-            RunState::No => (0, RequestEnd::NotRun),
-            RunState::Yes | RunState::Unknown => (job.work, RequestEnd::Unknown),
+/// Serves callers until the router stops and the running requests have ended.
+pub(crate) async fn run(state: Arc<RouterState>, listener: TcpListener) {
+    let api = Arc::new(CallerApi::new(state.clone()));
+    let app = routes(api.clone());
+    let mut builder = auto::Builder::new(TokioExecutor::new()).http1_only();
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(state.setting.limits.header_timeout)
+        .max_buf_size(CONNECTION_BUFFER)
+        .max_headers(HEADER_COUNT_MAX);
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = state.stop.cancelled() => break,
         };
-        spend::settle(state, &request.id, charged, end);
+        match accepted {
+            Ok((stream, _)) => serve_connection(&builder, &graceful, &app, stream),
+            Err(error) => {
+                // Accepting fails for all callers when file descriptors run out; waiting lets
+                // running requests release some.
+                tracing::warn!(%error, "cannot accept a connection");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
     }
-    answer
+    drop(listener);
+    graceful.shutdown().await;
+    api.tracker.close();
+    api.tracker.wait().await;
 }
 
-/// Reads the whole body of an answer.
-async fn collect(
-    state: &RouterState,
-    request: &CallerRequest,
-    work: Tokens,
-    answer: DispatchAnswer,
-) -> Result<(StatusCode, Bytes), Refusal> {
-    let status = answer.response.status();
-    match answer.response.into_body().collect().await {
-        Ok(whole) => {
-            answer.guard.complete();
-            Ok((status, whole.to_bytes()))
-        }
-        Err(_) => {
-            answer.guard.fail();
-            spend::settle(state, &request.id, work, RequestEnd::Unknown);
-            Err(RefusalCode::OutcomeUnknown.into())
-        }
+fn serve_connection(
+    builder: &auto::Builder<TokioExecutor>,
+    graceful: &GracefulShutdown,
+    app: &Router,
+    stream: TcpStream,
+) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(%error, "cannot set TCP_NODELAY");
     }
+    let service = TowerToHyperService::new(app.clone());
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let connection = graceful.watch(connection.into_owned());
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            tracing::debug!(%error, "a caller's connection ended early");
+        }
+    });
 }
 
-/// Passes events on and charges the usage that the engine reports at the end.
-fn relay_stream(
-    state: Arc<RouterState>,
-    request: CallerRequest,
-    answer: DispatchAnswer,
-) -> impl futures_util::Stream<Item = Result<Bytes, hyper::Error>> {
-    async_stream::stream! {
-        let DispatchAnswer { endpoint, response, mut guard } = answer;
-        let mut body = response.into_body();
-        let mut text = String::new();
-        while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else { break };
-            let Ok(data) = frame.into_data() else { continue };
-            guard.progress();
-            text.push_str(&String::from_utf8_lossy(&data));
-            yield Ok(data);
-        }
-        let events = text.lines().filter_map(|line| line.strip_prefix("data: "));
-        let usage = events.filter_map(|event| usage_of(event.as_bytes())).next_back();
-        let end = if usage.is_some() { RequestEnd::Ran } else { RequestEnd::Unknown };
-        tracing::info!(request = %request.id, %endpoint, "stream ended");
-        spend::settle(&state, &request.id, usage.unwrap_or(Tokens::MAX), end);
-    }
+fn routes(api: Arc<CallerApi>) -> Router {
+    Router::new()
+        .route("/v1/chat/completions", post(complete))
+        .route("/v1/models", get(models))
+        .route("/v1/tickets", post(issue_ticket))
+        .route("/svc/{*path}", any(forward))
+        .route("/healthz", get(|| async { "ok" }))
+        .route("/readyz", get(ready))
+        .route("/version", get(version))
+        .fallback(unknown_path)
+        .method_not_allowed_fallback(unknown_path)
+        .layer(middleware::from_fn_with_state(api.clone(), check_head))
+        .with_state(api)
 }
 
-fn usage_of(body: &[u8]) -> Option<Tokens> {
-    serde_json::from_slice::<Value>(body).ok()?["usage"]["total_tokens"].as_u64()
+/// Refuses requests with too many or too large headers.
+async fn check_head(State(api): State<Arc<CallerApi>>, request: Request, next: Next) -> Response {
+    let limits = &api.state.setting.limits;
+    let headers = request.headers();
+    let bytes: usize = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum();
+    if headers.len() > limits.header_count || bytes > limits.header_bytes {
+        return api.refuse(None, &RefusalCode::HeadersTooLarge.into());
+    }
+    next.run(request).await
 }
 
-fn answer_with_cost(
-    state: &RouterState,
-    request: &CallerRequest,
-    status: StatusCode,
-    body: Bytes,
-    tokens: Tokens,
-) -> Response {
-    let charge = spend::settle(state, &request.id, tokens, RequestEnd::Ran);
-    let charged = charge.map_or(0, |charge| charge.tokens);
-    Response::builder()
-        .status(status)
-        .header(header::CONTENT_TYPE, "application/json")
-        .header("x-jasminewall-request", request.id.as_str())
-        .header("x-jasminewall-charged", charged)
-        .header(
-            "x-jasminewall-budget-left",
-            spend::spendable(state, &request.budget),
-        )
-        .body(Body::from(body))
-        .unwrap_or_default()
+async fn unknown_path(State(api): State<Arc<CallerApi>>) -> Response {
+    api.refuse(None, &RefusalCode::UnknownPath.into())
 }
 
-fn job_of(
-    request: &CallerRequest,
-    work: Tokens,
-    method: Method,
-    path: &str,
-    body: Bytes,
-) -> DispatchJob {
-    let mut headers = HeaderMap::new();
-    headers.insert(
-        header::CONTENT_TYPE,
-        HeaderValue::from_static("application/json"),
-    );
-    if let Ok(id) = HeaderValue::from_str(&request.id) {
-        headers.insert("x-jasminewall-request", id);
-    }
-    DispatchJob {
-        request: request.id.clone(),
-        customer: request.customer.clone(),
-        route: request.route.clone(),
-        class: request.route.class,
-        work,
-        deadline: Instant::now() + Duration::from_millis(request.route.time_limit_ms),
-        fingerprint: 0,
-        method,
-        path: path.to_owned(),
-        headers,
-        body,
+async fn ready(State(api): State<Arc<CallerApi>>) -> StatusCode {
+    if api.state.is_ready() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
     }
 }
 
-async fn forward(
-    State(state): State<Arc<RouterState>>,
-    Path((route, _)): Path<(String, String)>,
-    method: Method,
-    uri: Uri,
-    headers: HeaderMap,
-    body: Bytes,
-) -> Response {
-    let id = state.new_request();
-    let path = uri.path_and_query().map_or("/", |path| path.as_str());
-    let path = path
-        .strip_prefix(&format!("/svc/{route}"))
-        .unwrap_or("/")
-        .to_owned();
-    match run_service(&state, id.clone(), &route, &method, &path, &headers, body).await {
-        Ok(response) => response,
-        Err(refusal) => problem(Some(&id), &refusal),
-    }
+async fn version(State(api): State<Arc<CallerApi>>) -> Json<Value> {
+    let holder = &api.state.holder;
+    Json(json!({
+        "version": env!("CARGO_PKG_VERSION"),
+        "vm": holder.vm,
+        "boot": format!("{:016x}", holder.boot),
+        "revision": api.state.fleet.config().revision(),
+    }))
 }
 
-async fn run_service(
-    state: &Arc<RouterState>,
-    id: RequestId,
-    route: &str,
-    method: &Method,
-    path: &str,
-    headers: &HeaderMap,
-    body: Bytes,
-) -> Result<Response, Refusal> {
-    let request = authorize(state, id, headers, route)?;
-    if !request.route.idempotent {
-        return Err(RefusalCode::ClaimsUnavailable.into());
+async fn models(State(api): State<Arc<CallerApi>>, request: Request) -> Response {
+    let config = api.state.fleet.config();
+    if let Err(refusal) = api.auth.customer(&config, request.headers()) {
+        return api.refuse(None, &refusal);
     }
-    let price = request.route.price;
-    let job = job_of(&request, price, method.clone(), path, body);
-    let answer = hold_and_execute(state, &request, &job).await?;
-    let (status, whole) = collect(state, &request, price, answer).await?;
-    Ok(answer_with_cost(state, &request, status, whole, price))
+    let routes = config.records().filter_map(|record| match record {
+        ConfigRecord::Route(route) if auth::serves(&config, route, EndpointKind::ModelEngine) => {
+            Some(json!({"id": route.name, "object": "model", "created": 0, "owned_by": "jasminewall"}))
+        }
+        _ => None,
+    });
+    let list = json!({"object": "list", "data": routes.collect::<Vec<_>>()});
+    axum::response::IntoResponse::into_response(Json(list))
 }
 
-/// Finds the customer, budget and route of a request.
-fn authorize(
-    state: &RouterState,
-    id: RequestId,
-    headers: &HeaderMap,
-    route: &str,
-) -> Result<CallerRequest, Refusal> {
-    let config = state.fleet.config();
-    if config.revision() == 0 {
-        return Err(RefusalCode::NotReady.into());
-    }
-    let customer = authenticate(&config, headers).ok_or(RefusalCode::Unauthenticated)?;
-    let budget = budget_of(&config, &customer, headers)?;
-    let Some(ConfigRecord::Route(route)) = config.get(RecordKind::Route, route) else {
-        return Err(RefusalCode::UnknownRoute.into());
-    };
-    Ok(CallerRequest {
-        id,
-        customer,
-        budget,
-        route: route.clone(),
-    })
+async fn complete(State(api): State<Arc<CallerApi>>, request: Request) -> Response {
+    let id = api.state.new_request();
+    let run = completions::run(api.clone(), id.clone(), Instant::now(), request);
+    api.answer(id, run).await
 }
 
-fn authenticate(config: &ConfigState, headers: &HeaderMap) -> Option<CustomerId> {
-    let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
-    let hash = hex::encode(Sha256::digest(value.strip_prefix("Bearer ")?.as_bytes()));
-    config.records().find_map(|record| match record {
-        ConfigRecord::Customer(customer) if customer.key_sha256.iter().any(|key| *key == hash) => {
-            Some(customer.name.clone())
-        }
-        _ => None,
-    })
+async fn forward(State(api): State<Arc<CallerApi>>, request: Request) -> Response {
+    let id = api.state.new_request();
+    let run = services::run(api.clone(), id.clone(), Instant::now(), request);
+    api.answer(id, run).await
 }
 
-fn budget_of(
-    config: &ConfigState,
-    customer: &CustomerId,
-    headers: &HeaderMap,
-) -> Result<BudgetId, Refusal> {
-    let named = headers
-        .get("x-jasminewall-budget")
-        .and_then(|name| name.to_str().ok());
-    let mut owned = config.records().filter_map(|record| match record {
-        ConfigRecord::Budget(budget) if budget.customer == *customer => Some(&budget.name),
-        _ => None,
-    });
-    match named {
-        Some(name) => owned
-            .find(|budget| *budget == name)
-            .cloned()
-            .ok_or_else(|| RefusalCode::BudgetForbidden.into()),
-        None => match (owned.next(), owned.next()) {
-            (Some(only), None) => Ok(only.clone()),
-            _ => Err(RefusalCode::BudgetRequired.into()),
-        },
-    }
+async fn issue_ticket(State(api): State<Arc<CallerApi>>, request: Request) -> Response {
+    let id = api.state.new_request();
+    let run = tickets::issue(api.clone(), id.clone(), request);
+    api.answer(id, run).await
 }
--- a/crates/router/src/embed.rs
+++ b/crates/router/src/embed.rs
@@ -1,13 +1,17 @@
 //! A whole fleet in one process: routers, stand-in platform, model engines and plain services.
 
-use std::net::{IpAddr, SocketAddr};
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+    path::Path,
+};
 
 use {
     anyhow::{Context, Result},
     jasminewall_core::{
-        BudgetId, ConfigDelta, ConfigRecord,
+        BudgetId, ConfigDelta, ConfigRecord, ShardId,
         budget::{PoolRow, pool_key},
-        record,
+        record::{self, EndpointKind},
         revision::{ConfigChange, HEAD_KEY, HeadRow, log_key},
         shard_of,
     },
@@ -16,12 +20,17 @@
     tokio::{net::TcpListener, task::JoinSet},
 };
 
-use crate::{setting::RouterSetting, state::RouterHandle};
+use crate::{
+    setting::{CallerLimits, RouterSetting, StandinSetting},
+    state::RouterHandle,
+};
 
 /// Key of the sample customer.
 const SAMPLE_KEY: &str = "sample-key-parish";
 /// SHA-256 of the sample key.
 const SAMPLE_KEY_SHA256: &str = "b217bdf7b013b544e53b5047c5cbe4bda70e4d58d090da88b04561230ae93f39";
+/// SHA-256 of `sample-key-workshop`, the key of a second customer.
+const RIVAL_KEY_SHA256: &str = "f4e4fd78e1012c33cc2ff5257090be00ad129ff39dd3d46247b62832c3d02eeb";
 /// Budget shards of the sample fleet.
 const SHARDS: u32 = 4;
 /// Failure domains of the sample fleet.
@@ -45,6 +54,15 @@
     ///
     /// When a port cannot be bound.
     pub async fn start(ip: IpAddr) -> Result<Self> {
+        Self::start_with(ip, CallerLimits::default()).await
+    }
+
+    /// Starts stand-ins and three routers with limits on what callers may send.
+    ///
+    /// # Errors
+    ///
+    /// When a port cannot be bound.
+    pub async fn start_with(ip: IpAddr, limits: CallerLimits) -> Result<Self> {
         let platform = MemoryPlatform::new();
         let mut tasks = JoinSet::new();
         let platform_listener = TcpListener::bind((ip, 0)).await?;
@@ -53,8 +71,10 @@
             platform.clone(),
             platform_listener,
         ));
-        let records = start_endpoints(ip, &mut tasks).await?;
-        apply_sample(&platform.ports(), records).await?;
+        let text = sample_declarations(ip)?;
+        let records = record::from_str(&text).context("sample declarations")?;
+        start_endpoints(&records, &mut tasks).await?;
+        apply_records(&platform.ports(), records, SHARDS).await?;
         let peer_addresses = free_addresses(ip, DOMAINS.len())?;
         let mut routers = Vec::new();
         for (index, domain) in DOMAINS.iter().enumerate() {
@@ -73,6 +93,8 @@
                 platform: platform_address.to_string(),
                 secret: "sample-secret".into(),
                 shards: SHARDS,
+                limits,
+                ..RouterSetting::default()
             };
             routers.push(RouterHandle::start(setting, platform.ports()).await?);
         }
@@ -107,6 +129,7 @@
                 router.address
             ));
         }
+        lines.push("stop it with Ctrl-C".into());
         lines.join("\n")
     }
 
@@ -130,63 +153,142 @@
         .collect::<std::io::Result<_>>()?)
 }
 
-/// Starts two model engines and one plain service a failure domain; returns their records as TOML.
-async fn start_endpoints(ip: IpAddr, tasks: &mut JoinSet<std::io::Result<()>>) -> Result<String> {
+/// Stand-in platform and endpoints of a declaration file, for routers in other processes.
+pub struct StandinFleet {
+    /// Stand-in platform.
+    pub platform: MemoryPlatform,
+    /// Address at which the stand-in platform is served.
+    pub platform_address: SocketAddr,
+    /// Names and addresses of the stand-in endpoints.
+    pub endpoints: Vec<(String, String)>,
+    tasks: JoinSet<std::io::Result<()>>,
+}
+
+impl StandinFleet {
+    /// Serves the platform and every declared endpoint, and applies the declarations as revision 1.
+    ///
+    /// # Errors
+    ///
+    /// When the declarations cannot be read or an address cannot be bound.
+    pub async fn start(setting: &StandinSetting, folder: &Path) -> Result<Self> {
+        let path = folder.join(&setting.declarations);
+        let text = std::fs::read_to_string(&path)
+            .with_context(|| format!("cannot read {}", path.display()))?;
+        let records = record::from_str(&text).with_context(|| path.display().to_string())?;
+        let platform = MemoryPlatform::new();
+        let mut tasks = JoinSet::new();
+        let listener = TcpListener::bind(setting.platform)
+            .await
+            .with_context(|| format!("cannot bind {}", setting.platform))?;
+        let platform_address = listener.local_addr()?;
+        let endpoints = start_endpoints(&records, &mut tasks).await?;
+        apply_records(&platform.ports(), records, setting.shards).await?;
+        for vm in &setting.vms {
+            platform.set_vm(vm, Some(VmState::Live));
+        }
+        tasks.spawn(jasminewall_platform::serve(platform.clone(), listener));
+        Ok(Self {
+            platform,
+            platform_address,
+            endpoints,
+            tasks,
+        })
+    }
+
+    /// Stops the stand-ins.
+    pub async fn stop(mut self) {
+        self.tasks.shutdown().await;
+    }
+}
+
+/// Two model engines and one plain service of each kind a failure domain, on free ports.
+fn sample_declarations(ip: IpAddr) -> Result<String> {
     let mut text = String::from("schema = 2\n");
-    let mut engines = Vec::new();
-    let mut services = Vec::new();
+    let mut names = [Vec::new(), Vec::new(), Vec::new()];
+    let mut addresses = free_addresses(ip, DOMAINS.len() * 4)?.into_iter();
     for domain in DOMAINS {
-        for index in 1..=2 {
-            let name = format!("engine-{}{index}", &domain["domain-".len()..]);
-            let listener = TcpListener::bind((ip, 0)).await?;
-            text.push_str(&endpoint_text(
-                &name,
-                "model_engine",
-                listener.local_addr()?,
-                domain,
+        let letter = &domain["domain-".len()..];
+        let endpoints = [
+            (0, format!("engine-{letter}1"), "model_engine"),
+            (0, format!("engine-{letter}2"), "model_engine"),
+            (1, format!("catalogue-{letter}"), "plain_service"),
+            (2, format!("orders-{letter}"), "plain_service"),
+        ];
+        for ((route, name, runs), address) in endpoints.into_iter().zip(&mut addresses) {
+            text.push_str(&format!(
+                "[[endpoint]]\nname = \"{name}\"\nruns = \"{runs}\"\naddress = \"{address}\"\n\
+                 failure_domain = \"{domain}\"\nlists_streams = {}\n",
+                route == 0
             ));
-            tasks.spawn(ModelEngine::new(&name, &["glass-7b"]).serve(listener));
-            engines.push(name);
+            names[route].push(name);
         }
-        let name = format!("catalogue-{}", &domain["domain-".len()..]);
-        let listener = TcpListener::bind((ip, 0)).await?;
-        text.push_str(&endpoint_text(
-            &name,
-            "plain_service",
-            listener.local_addr()?,
-            domain,
-        ));
-        tasks.spawn(PlainService::new(&name).serve(listener));
-        services.push(name);
     }
+    let [engines, catalogues, orders] = names;
     text.push_str(&format!(
-        "[[route]]\nname = \"glass-7b\"\nendpoints = {engines:?}\n"
-    ));
-    text.push_str(&format!(
-        "[[route]]\nname = \"catalogue\"\nendpoints = {services:?}\nprice = 1\n"
-    ));
-    text.push_str(&format!(
-        "[[customer]]\nname = \"parish\"\nkey_sha256 = [\"{SAMPLE_KEY_SHA256}\"]\n\
+        "[[route]]\nname = \"glass-7b\"\nendpoints = {engines:?}\n\
+         [[route]]\nname = \"catalogue\"\nendpoints = {catalogues:?}\nprice = 1\nanswer_limit_bytes = 65536\n\
+         [[route]]\nname = \"orders\"\nendpoints = {orders:?}\nprice = 5\nidempotent = false\n\
+         [[customer]]\nname = \"parish\"\nkey_sha256 = [\"{SAMPLE_KEY_SHA256}\"]\n\
+         [[customer]]\nname = \"workshop\"\nkey_sha256 = [\"{RIVAL_KEY_SHA256}\"]\n\
          [[budget]]\nname = \"parish-2026\"\ncustomer = \"parish\"\n\
-         [[top_up]]\nname = \"parish-first\"\nbudget = \"parish-2026\"\namount = 1000000\n"
+         [[budget]]\nname = \"workshop-2026\"\ncustomer = \"workshop\"\n\
+         [[top_up]]\nname = \"parish-first\"\nbudget = \"parish-2026\"\namount = 1000000\n\
+         [[top_up]]\nname = \"workshop-first\"\nbudget = \"workshop-2026\"\namount = 1000000\n"
     ));
     Ok(text)
 }
 
-fn endpoint_text(name: &str, runs: &str, address: SocketAddr, domain: &str) -> String {
-    format!(
-        "[[endpoint]]\nname = \"{name}\"\nruns = \"{runs}\"\naddress = \"{address}\"\nfailure_domain = \"{domain}\"\n"
-    )
+/// Serves a stand-in for each declared endpoint at its address; returns names and addresses.
+async fn start_endpoints(
+    records: &[ConfigRecord],
+    tasks: &mut JoinSet<std::io::Result<()>>,
+) -> Result<Vec<(String, String)>> {
+    let mut started = Vec::new();
+    for record in records {
+        let ConfigRecord::Endpoint(endpoint) = record else {
+            continue;
+        };
+        let listener = TcpListener::bind(endpoint.address.as_str())
+            .await
+            .with_context(|| {
+                format!(
+                    "endpoint {}: cannot bind {}",
+                    endpoint.name, endpoint.address
+                )
+            })?;
+        match endpoint.runs {
+            EndpointKind::ModelEngine => {
+                let models: Vec<&str> = records
+                    .iter()
+                    .filter_map(|record| match record {
+                        ConfigRecord::Route(route) => Some(route),
+                        _ => None,
+                    })
+                    .filter(|route| route.endpoints.contains(&endpoint.name))
+                    .map(|route| route.name.as_str())
+                    .collect();
+                tasks.spawn(ModelEngine::new(&endpoint.name, &models).serve(listener));
+            }
+            EndpointKind::PlainService => {
+                tasks.spawn(PlainService::new(&endpoint.name).serve(listener));
+            }
+        }
+        started.push((endpoint.name.to_string(), endpoint.address.to_string()));
+    }
+    Ok(started)
 }
 
-async fn apply_sample(ports: &PlatformPorts, text: String) -> Result<()> {
-    let records = record::from_str(&text).context("sample declarations")?;
+async fn apply_records(
+    ports: &PlatformPorts,
+    records: Vec<ConfigRecord>,
+    shards: ShardId,
+) -> Result<()> {
     let mut writes = Vec::new();
-    let mut pools = std::collections::BTreeMap::<u32, PoolRow>::new();
+    let mut pools = BTreeMap::<ShardId, PoolRow>::new();
     for record in &records {
         if let ConfigRecord::TopUp(top_up) = record {
             let budget: &BudgetId = &top_up.budget;
-            let pool = pools.entry(shard_of(budget, SHARDS)).or_default();
+            let pool = pools.entry(shard_of(budget, shards)).or_default();
             pool.budgets
                 .entry(budget.clone())
                 .or_default()
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -4,7 +4,7 @@
 //! use jasminewall_router::{EmbedFleet, telemetry};
 //!
 //! # async fn start() -> anyhow::Result<()> {
-//! telemetry::start(telemetry::LogFormat::Text)?;
+//! telemetry::start(telemetry::LogFormat::Text, "warn")?;
 //! let fleet = EmbedFleet::start("127.0.0.1".parse()?).await?;
 //! println!("{}", fleet.summary());
 //! # Ok(())
@@ -16,13 +16,13 @@
 mod embed;
 mod fleet;
 mod peer;
-mod setting;
+pub mod setting;
 mod spend;
 mod state;
 pub mod telemetry;
 
 pub use crate::{
-    embed::EmbedFleet,
-    setting::RouterSetting,
+    embed::{EmbedFleet, StandinFleet},
+    setting::{RouterSetting, StandinSetting},
     state::{RouterHandle, RouterState},
 };
--- a/crates/router/src/spend.rs
+++ b/crates/router/src/spend.rs
@@ -74,7 +74,6 @@
     /// Ran to its end.
     Ran,
     /// The caller left while it ran.
-    #[expect(dead_code, reason = "used once streams notice that the caller left")]
     Cancelled,
     /// Surely did not run.
     NotRun,
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     api, dispatch::RoutingTable, fleet, fleet::FleetTable, peer, setting::RouterSetting, spend,
-    spend::SpendTable,
+    spend::SpendTable, telemetry::RouterMetrics,
 };
 
 /// State that all tasks of one router share.
@@ -29,6 +29,7 @@
     pub(crate) spend: SpendTable,
     pub(crate) fleet: FleetTable,
     pub(crate) routing: RoutingTable,
+    pub(crate) metrics: RouterMetrics,
 }
 
 impl RouterState {
@@ -39,6 +40,7 @@
             spend: SpendTable::new(holder.clone()),
             fleet: FleetTable::default(),
             routing: RoutingTable::new(),
+            metrics: RouterMetrics::new(&setting.vm, setting.metrics),
             stop: CancellationToken::new(),
             setting,
             holder,
@@ -53,7 +55,12 @@
 
     /// Id for a new request, unique over the fleet.
     pub fn new_request(&self) -> RequestId {
-        format!("{}-{:016x}", self.setting.vm, rand::rng().random::<u64>()).into()
+        format!(
+            "jw-{}-{:016x}",
+            self.setting.vm,
+            rand::rng().random::<u64>()
+        )
+        .into()
     }
 }
 
@@ -75,6 +82,10 @@
     pub async fn start(setting: RouterSetting, ports: PlatformPorts) -> Result<Self> {
         let listener = TcpListener::bind(setting.listen).await?;
         let address = listener.local_addr()?;
+        let setting = RouterSetting {
+            listen: address,
+            ..setting
+        };
         let peer_listener = std::net::TcpListener::bind(setting.peer_listen)?;
         peer_listener.set_nonblocking(true)?;
         let state = Arc::new(RouterState::new(setting, ports));
--- a/crates/router/src/telemetry.rs
+++ b/crates/router/src/telemetry.rs
@@ -1,10 +1,33 @@
 //! Logs and metrics.
 
+use std::{
+    net::{SocketAddr, UdpSocket},
+    time::Duration,
+};
+
 use {
     anyhow::{Result, anyhow},
+    cadence::{
+        BufferedUdpMetricSink, Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient,
+        Timed,
+    },
     tracing_subscriber::EnvFilter,
 };
 
+/// Prefix of all metric names.
+const PREFIX: &str = "jasminewall";
+/// Names of all metrics, as listed in `docs/metrics.md`.
+pub const METRIC_NAMES: &[&str] = &[
+    "requests",
+    "refusals",
+    "charged_tokens",
+    "open_requests",
+    "first_byte",
+    "answer",
+];
+/// Metrics that wait to be sent; more are dropped, so that a slow socket delays no request.
+const QUEUE_LIMIT: usize = 4_096;
+
 /// Form of the log lines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LogFormat {
@@ -14,13 +37,17 @@
     Json,
 }
 
-/// Starts logging to standard error, filtered by `RUST_LOG` (`info` by default).
+/// Starts logging to standard error; `RUST_LOG` takes precedence over the filter.
 ///
 /// # Errors
 ///
-/// When logging was started before.
-pub fn start(format: LogFormat) -> Result<()> {
-    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
+/// When the filter is not valid or logging was started before.
+pub fn start(format: LogFormat, filter: &str) -> Result<()> {
+    let filter = match EnvFilter::try_from_default_env() {
+        Ok(filter) => filter,
+        Err(_) => EnvFilter::try_new(filter)
+            .map_err(|error| anyhow!("log level '{filter}': {error}; write warn or info"))?,
+    };
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_writer(std::io::stderr);
@@ -30,3 +57,85 @@
     };
     started.map_err(|error| anyhow!("cannot start logging: {error}"))
 }
+
+/// Metrics of one router, sent over UDP in the statsd format when an address is set.
+pub(crate) struct RouterMetrics {
+    client: StatsdClient,
+}
+
+impl RouterMetrics {
+    /// Opens the socket; without an address, or when that fails, metrics are dropped.
+    pub(crate) fn new(vm: &str, address: Option<SocketAddr>) -> Self {
+        let client = address.and_then(|address| match open(vm, address) {
+            Ok(client) => Some(client),
+            Err(error) => {
+                tracing::warn!(%error, %address, "metrics are not sent");
+                None
+            }
+        });
+        let client = client.unwrap_or_else(|| StatsdClient::from_sink(PREFIX, NopMetricSink));
+        Self { client }
+    }
+
+    /// Counts an answered request of a route and its charge.
+    pub(crate) fn answered(&self, route: &str, tokens: u64) {
+        let _ = self
+            .client
+            .count_with_tags("requests", 1)
+            .with_tag("route", route)
+            .try_send();
+        let tokens = i64::try_from(tokens).unwrap_or(i64::MAX);
+        let _ = self
+            .client
+            .count_with_tags("charged_tokens", tokens)
+            .with_tag("route", route)
+            .try_send();
+    }
+
+    /// Counts a refusal by its code.
+    pub(crate) fn refused(&self, code: &str) {
+        let _ = self
+            .client
+            .count_with_tags("refusals", 1)
+            .with_tag("code", code)
+            .try_send();
+    }
+
+    /// Reports the number of requests that have not ended.
+    pub(crate) fn open(&self, requests: u64) {
+        let _ = self.client.gauge("open_requests", requests);
+    }
+
+    /// Reports the time from the arrival of a request to the head of its answer.
+    pub(crate) fn first_byte(&self, route: &str, taken: Duration) {
+        let _ = self
+            .client
+            .time_with_tags("first_byte", taken)
+            .with_tag("route", route)
+            .try_send();
+    }
+
+    /// Reports the time from the arrival of a request to the end of its answer.
+    pub(crate) fn answer(&self, route: &str, taken: Duration) {
+        let _ = self
+            .client
+            .time_with_tags("answer", taken)
+            .with_tag("route", route)
+            .try_send();
+    }
+}
+
+fn open(vm: &str, address: SocketAddr) -> Result<StatsdClient> {
+    let local = if address.is_ipv4() {
+        "0.0.0.0:0"
+    } else {
+        "[::]:0"
+    };
+    let socket = UdpSocket::bind(local)?;
+    socket.set_nonblocking(true)?;
+    let sink = BufferedUdpMetricSink::from(address, socket)?;
+    let sink = QueuingMetricSink::with_capacity(sink, QUEUE_LIMIT);
+    Ok(StatsdClient::builder(PREFIX, sink)
+        .with_tag("vm", vm)
+        .build())
+}
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -1,26 +1,45 @@
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 
 use {
     axum::{
         Json, Router,
-        extract::State,
-        http::{Method, Uri},
+        body::Bytes,
+        extract::{Query, State},
+        http::{HeaderMap, Method, StatusCode, Uri},
+        response::{IntoResponse, Response},
     },
-    serde_json::{Value, json},
+    serde::Deserialize,
+    serde_json::{Map, Value, json},
     smol_str::SmolStr,
     tokio::net::TcpListener,
 };
 
 /// Stand-in plain service that counts what it ran.
+///
+/// The query can ask it to fail: `status`, `sleep_ms` before the answer, `bytes` of padding,
+/// `id` to answer as another request, `usage` to report tokens.
 #[derive(Clone)]
 pub struct PlainService {
     name: SmolStr,
     runs: Arc<AtomicU64>,
 }
 
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct FaultQuery {
+    status: Option<u16>,
+    sleep_ms: u64,
+    bytes: usize,
+    id: Option<String>,
+    usage: Option<u64>,
+}
+
 impl PlainService {
     /// Builds a service that has run nothing.
     pub fn new(name: &str) -> Self {
@@ -46,10 +65,46 @@
     }
 }
 
-async fn run(State(service): State<PlainService>, method: Method, uri: Uri) -> Json<Value> {
+async fn run(
+    State(service): State<PlainService>,
+    Query(fault): Query<FaultQuery>,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
     let serial = service.runs.fetch_add(1, Ordering::SeqCst) + 1;
-    Json(json!({
+    tokio::time::sleep(Duration::from_millis(fault.sleep_ms)).await;
+    let seen: Map<String, Value> = headers
+        .iter()
+        .map(|(name, value)| {
+            let value = String::from_utf8_lossy(value.as_bytes());
+            (name.to_string(), Value::from(value.as_ref()))
+        })
+        .collect();
+    let mut answer = json!({
         "service": service.name, "serial": format!("{}-{serial}", service.name),
-        "method": method.as_str(), "path": uri.path(),
-    }))
+        "method": method.as_str(), "path": uri.path(), "query": uri.query(),
+        "headers": seen, "body_bytes": body.len(),
+    });
+    if fault.bytes > 0 {
+        answer["padding"] = "x".repeat(fault.bytes).into();
+    }
+    if let Some(usage) = fault.usage {
+        answer["usage"] = json!({"total_tokens": usage});
+    }
+    let status = fault
+        .status
+        .and_then(|status| StatusCode::from_u16(status).ok());
+    let mut response = (status.unwrap_or(StatusCode::OK), Json(answer)).into_response();
+    let echoed = match fault.id {
+        Some(id) => id.parse().ok(),
+        None => headers.get("x-jasminewall-request").cloned(),
+    };
+    if let Some(echoed) = echoed {
+        response
+            .headers_mut()
+            .insert("x-jasminewall-request", echoed);
+    }
+    response
 }
--- /dev/null
+++ b/crates/testkit/tests/caller_settings.rs
@@ -0,0 +1,89 @@
+//! Guards against settings mistakes that surface one at a time or only in operation, against
+//! secrets in output, and against documentation that differs from the code.
+
+use jasminewall_router::{
+    RouterSetting, StandinSetting,
+    setting::{ROUTER_KEYS, STANDIN_KEYS},
+    telemetry::METRIC_NAMES,
+};
+
+const SETTINGS: &str = include_str!("../../../docs/settings.md");
+const METRICS: &str = include_str!("../../../docs/metrics.md");
+
+#[test]
+fn all_mistakes_are_in_one_report() {
+    let text = "[router]\nvm = vm-1\nlisten = 127.0.0.1\npeer_listn = 127.0.0.1:7201\n\
+        [fleet]\nsecret = short\nshards = none\npeers = 127.0.0.1:1, x\n[platfrom]\n\
+        address = 127.0.0.1:7000\n[limits]\nbody_bytes = 0\n[log]\nformat = xml\n";
+    let report = text.parse::<RouterSetting>().unwrap_err().to_string();
+    insta::assert_snapshot!(report, @r"
+    11 mistake(s) in the settings
+      [router] peer_listn: the key is not known; did you mean 'peer_listen'?
+      [platfrom]: the section is not known; did you mean 'platform'?
+      [router] failure_domain: it is missing; add it
+      [router] listen: '127.0.0.1' is not valid; write ip:port
+      [router] peer_listen: it is missing; add it
+      [fleet] peers: 'x' is not valid; write ip:port, ip:port
+      [platform] address: it is missing; add it
+      [fleet] secret: it is too short; use at least 12 bytes
+      [fleet] shards: 'none' is not valid; write a whole number above 0
+      [limits] body_bytes: write a whole number above 0
+      [log] format: 'xml' is not valid; write text or json
+    ");
+}
+
+#[test]
+fn secret_is_never_printed() {
+    let text = include_str!("../../../samples/router-a.ini");
+    let setting: RouterSetting = text.parse().unwrap();
+    assert_eq!(&*setting.secret, "sample-secret");
+    assert!(!format!("{setting:?}").contains("sample-secret"));
+    let both = text.replace("shards = 4", "shards = 4\nsecret_file = /nowhere");
+    let report = both.parse::<RouterSetting>().unwrap_err().to_string();
+    assert!(!report.contains("sample-secret"), "{report}");
+}
+
+#[test]
+fn samples_are_valid() {
+    for text in [
+        include_str!("../../../samples/router-a.ini"),
+        include_str!("../../../samples/router-b.ini"),
+        include_str!("../../../samples/router-c.ini"),
+    ] {
+        text.parse::<RouterSetting>().unwrap();
+    }
+    let standins = include_str!("../../../samples/standins.ini");
+    standins.parse::<StandinSetting>().unwrap();
+    let records = include_str!("../../../samples/fleet.toml");
+    jasminewall_core::record::from_str(records).unwrap();
+}
+
+#[test]
+fn every_key_and_metric_is_documented() {
+    for (section, keys) in ROUTER_KEYS.iter().chain(STANDIN_KEYS) {
+        for key in *keys {
+            let row = format!("| `{section}` | `{key}` |");
+            assert!(SETTINGS.contains(&row), "{row} is missing");
+        }
+    }
+    let rows = SETTINGS
+        .lines()
+        .filter(|line| line.starts_with("| `"))
+        .count();
+    let keys = ROUTER_KEYS
+        .iter()
+        .chain(STANDIN_KEYS)
+        .map(|(_, keys)| keys.len());
+    assert_eq!(rows, keys.sum::<usize>());
+    for name in METRIC_NAMES {
+        assert!(
+            METRICS.contains(&format!("| `{name}` |")),
+            "{name} is missing"
+        );
+    }
+    let rows = METRICS
+        .lines()
+        .filter(|line| line.starts_with("| `"))
+        .count();
+    assert_eq!(rows, METRIC_NAMES.len());
+}
