--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -32,6 +32,7 @@
     setting::RouterSetting,
     spend,
     spend::SpendTable,
+    telemetry::RouterMetrics,
 };
 
 /// Longest wait for one step of a stop that calls peers or the platform.
@@ -54,6 +55,7 @@
     pub(crate) spend: SpendTable,
     pub(crate) fleet: FleetTable,
     pub(crate) routing: RoutingTable,
+    pub(crate) metrics: RouterMetrics,
 }
 
 impl RouterState {
@@ -66,6 +68,7 @@
             routing: RoutingTable::new(),
             links: PeerLinks::default(),
             drain: CancellationToken::new(),
+            metrics: RouterMetrics::new(&setting.vm, setting.metrics),
             stop: CancellationToken::new(),
             refusing: AtomicBool::new(false),
             setting,
@@ -91,7 +94,12 @@
 
     /// Id for a new request, unique over the fleet.
     pub fn new_request(&self) -> RequestId {
-        format!("{}-{:016x}", self.setting.vm, rand::rng().random::<u64>()).into()
+        format!(
+            "jw-{}-{:016x}",
+            self.setting.vm,
+            rand::rng().random::<u64>()
+        )
+        .into()
     }
 }
 
@@ -156,6 +164,10 @@
     pub async fn start(setting: RouterSetting, ports: PlatformPorts) -> Result<Self> {
         let listener = TcpListener::bind(setting.listen).await?;
         let address = listener.local_addr()?;
+        let setting = RouterSetting {
+            listen: address,
+            ..setting
+        };
         let peer_listener = std::net::TcpListener::bind(setting.peer_listen)?;
         peer_listener.set_nonblocking(true)?;
         let state = Arc::new(RouterState::new(setting, ports));
