Extend the stand-in platform's faults, lags, limits and credential

Cause: tests could take a whole service down, but could not lose one kind of answer, partition one router, delay the VM list or limit the weight store, and any client could write configuration rows.

Change: a fault plan per service and per kind of lost answer, a client name with each call, a VM list with a lag, a weight store with a limit per window, more call counts, and an operator credential that is checked for every write below config/ once it is required.

Conclusion: the faults of the environment can be shown one by one.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -3,7 +3,7 @@
 use {
     bytes::Bytes,
     http_body_util::{BodyExt, Full},
-    hyper::{Request, Uri},
+    hyper::{Request, Uri, header::HeaderValue},
     hyper_util::{
         client::legacy::{Client, connect::HttpConnector},
         rt::TokioExecutor,
@@ -16,7 +16,7 @@
         ObjectPort, PlatformPorts, PortFuture, RowWrite, TablePort, TableRow, TransactOutcome,
         VmEntry, VmListPort, WeightPort,
     },
-    serve::{PortRequest, PortResponse},
+    serve::{CLIENT_HEADER, OPERATOR_HEADER, PortRequest, PortResponse},
 };
 
 /// Longest time that a platform call may take.
@@ -27,6 +27,8 @@
 pub struct HttpPlatform {
     client: Client<HttpConnector, Full<Bytes>>,
     uri: Uri,
+    name: Option<HeaderValue>,
+    credential: Option<HeaderValue>,
 }
 
 impl HttpPlatform {
@@ -42,9 +44,33 @@
         Ok(Self {
             client: Client::builder(TokioExecutor::new()).build_http(),
             uri,
+            name: None,
+            credential: None,
         })
     }
 
+    /// Names the client in each call.
+    ///
+    /// # Errors
+    ///
+    /// `Invalid` when the name has characters that a header cannot carry.
+    pub fn named(mut self, name: &str) -> Result<Self> {
+        self.name = Some(header_value(name)?);
+        Ok(self)
+    }
+
+    /// Sends an operator's credential with each call.
+    ///
+    /// # Errors
+    ///
+    /// `Invalid` when the credential has characters that a header cannot carry.
+    pub fn with_credential(mut self, credential: &str) -> Result<Self> {
+        let mut value = header_value(credential)?;
+        value.set_sensitive(true);
+        self.credential = Some(value);
+        Ok(self)
+    }
+
     /// Ports that reach the platform through this client.
     pub fn ports(&self) -> PlatformPorts {
         let port = Arc::new(self.clone());
@@ -64,8 +90,14 @@
     pub async fn call(&self, request: &PortRequest) -> Result<PortResponse> {
         let body = serde_json::to_vec(request)
             .map_err(|error| Error::new(Category::Invalid, error.to_string()))?;
-        let request = Request::post(self.uri.clone())
-            .header("content-type", "application/json")
+        let mut call = Request::post(self.uri.clone()).header("content-type", "application/json");
+        if let Some(name) = &self.name {
+            call = call.header(CLIENT_HEADER, name);
+        }
+        if let Some(credential) = &self.credential {
+            call = call.header(OPERATOR_HEADER, credential);
+        }
+        let request = call
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| Error::new(Category::Invalid, error.to_string()))?;
         match tokio::time::timeout(CALL_TIMEOUT, self.exchange(request)).await {
@@ -92,6 +124,11 @@
     }
 }
 
+fn header_value(text: &str) -> Result<HeaderValue> {
+    HeaderValue::from_str(text)
+        .map_err(|_| Error::new(Category::Invalid, "write visible ASCII characters only"))
+}
+
 fn unexpected<T>() -> Result<T> {
     Err(Error::new(
         Category::Unknown,
--- a/crates/platform/src/memory.rs
+++ b/crates/platform/src/memory.rs
@@ -1,19 +1,26 @@
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
-use serde::{Deserialize, Serialize};
+use {
+    serde::{Deserialize, Serialize},
+    smol_str::SmolStr,
+    tokio::time::Instant,
+};
 
 use crate::{
-    Error, Result,
+    Category, Error, Result,
     port::{
         ObjectPort, PlatformPorts, PortFuture, RowWrite, TablePort, TableRow, TransactOutcome,
         VmEntry, VmListPort, VmState, WeightPort,
     },
 };
 
+/// Prefix of the rows that only operators write.
+const CONFIG_PREFIX: &str = "config/";
+
 /// Faults that the stand-in platform shows.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -24,27 +31,63 @@
     pub object_down: bool,
     /// The VM list refuses every call.
     pub vms_down: bool,
+    /// The weight store refuses every call.
+    pub weights_down: bool,
     /// Time before each answer, in milliseconds.
     pub delay_ms: u64,
+    /// Further time before each answer of the table service, in milliseconds.
+    pub table_delay_ms: u64,
+    /// Further time before each answer of the object store, in milliseconds.
+    pub object_delay_ms: u64,
     /// Number of coming table writes that take effect but whose answers are lost.
     pub lose_answers: u32,
+    /// Number of coming table reads whose answers are lost.
+    pub lose_read_answers: u32,
+    /// Number of coming object writes that take effect but whose answers are lost.
+    pub lose_object_answers: u32,
+    /// Number of coming weight permits that are taken but whose answers are lost.
+    pub lose_permit_answers: u32,
+    /// Names of the clients that cannot reach any service.
+    pub partitioned: BTreeSet<String>,
 }
 
 /// Number of calls that the stand-in platform has served.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct PlatformCounts {
     /// Rows written or deleted.
     pub row_writes: u64,
     /// Rows read, by key or by scan.
     pub row_reads: u64,
+    /// Transactions that took effect.
+    pub commits: u64,
+    /// Transactions that were refused because of a version.
+    pub conflicts: u64,
     /// Objects written.
     pub object_writes: u64,
+    /// Objects read, and listings of objects.
+    pub object_reads: u64,
+    /// Reads of the VM list.
+    pub vm_reads: u64,
+    /// Weight permits given.
+    pub permits: u64,
 }
 
-/// Stand-in for the platform, held in memory.
+/// Stand-in for the platform, held in memory; a clone reaches the same state.
 #[derive(Clone, Default)]
 pub struct MemoryPlatform {
     state: Arc<Mutex<PlatformState>>,
+    client: SmolStr,
+    credential: Option<SmolStr>,
+}
+
+/// Services of the platform, each with its own faults.
+#[derive(Clone, Copy)]
+enum PlatformService {
+    Table,
+    Object,
+    Vms,
+    Weights,
 }
 
 #[derive(Default)]
@@ -52,17 +95,65 @@
     rows: BTreeMap<String, TableRow>,
     next_version: u64,
     objects: BTreeMap<String, Vec<u8>>,
-    vms: BTreeMap<String, VmEntry>,
+    vm_changes: Vec<VmChange>,
+    vms_lag: Duration,
+    weight_limit: Option<WeightLimit>,
+    operator: Option<SmolStr>,
     faults: FaultPlan,
     counts: PlatformCounts,
 }
 
+struct VmChange {
+    at: Instant,
+    vm: SmolStr,
+    state: Option<VmState>,
+}
+
+/// Number of permits in any window of time.
+struct WeightLimit {
+    permits: usize,
+    window: Duration,
+    given: VecDeque<Instant>,
+}
+
+impl WeightLimit {
+    fn take(&mut self, now: Instant) -> bool {
+        while let Some(first) = self.given.front() {
+            if now.duration_since(*first) < self.window {
+                break;
+            }
+            self.given.pop_front();
+        }
+        if self.given.len() >= self.permits {
+            return false;
+        }
+        self.given.push_back(now);
+        true
+    }
+}
+
 impl MemoryPlatform {
     /// Starts an empty platform without faults.
     pub fn new() -> Self {
         Self::default()
     }
 
+    /// Reaches the same platform under a client name, which a fault plan can partition.
+    #[must_use]
+    pub fn client(&self, name: impl Into<SmolStr>) -> Self {
+        let mut platform = self.clone();
+        platform.client = name.into();
+        platform
+    }
+
+    /// Reaches the same platform with an operator's credential.
+    #[must_use]
+    pub fn operator(&self, credential: impl Into<SmolStr>) -> Self {
+        let mut platform = self.clone();
+        platform.credential = Some(credential.into());
+        platform
+    }
+
     /// Ports that reach this platform.
     pub fn ports(&self) -> PlatformPorts {
         let port = Arc::new(self.clone());
@@ -74,6 +165,11 @@
         }
     }
 
+    /// Requires a credential for every write of a `config/` row from now on.
+    pub fn require_operator(&self, credential: impl Into<SmolStr>) {
+        self.lock().operator = Some(credential.into());
+    }
+
     /// Replaces the faults.
     pub fn set_faults(&self, faults: FaultPlan) {
         self.lock().faults = faults;
@@ -89,63 +185,101 @@
         self.lock().counts
     }
 
-    /// Puts a VM on the list, or takes it off with `None`.
+    /// Limits the weight store to a number of permits in any window of time.
+    pub fn set_weight_limit(&self, permits: usize, window: Duration) {
+        self.lock().weight_limit = Some(WeightLimit {
+            permits,
+            window,
+            given: VecDeque::new(),
+        });
+    }
+
+    /// Sets how long after a change the VM list shows it.
+    pub fn set_vms_lag(&self, lag: Duration) {
+        self.lock().vms_lag = lag;
+    }
+
+    /// Puts a VM on the list, or takes it off with `None`; the list shows it after its lag.
     pub fn set_vm(&self, vm: &str, state: Option<VmState>) {
-        let mut platform = self.lock();
-        match state {
-            Some(state) => {
-                platform.vms.insert(
-                    vm.to_owned(),
-                    VmEntry {
-                        vm: vm.into(),
-                        state,
-                    },
-                );
-            }
-            None => {
-                platform.vms.remove(vm);
-            }
-        }
+        self.lock().vm_changes.push(VmChange {
+            at: Instant::now(),
+            vm: vm.into(),
+            state,
+        });
     }
 
     fn lock(&self) -> MutexGuard<'_, PlatformState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn wait(&self) {
-        let delay = self.lock().faults.delay_ms;
+    /// Waits for the delay of a service, then refuses the call if a fault says so.
+    async fn enter(&self, service: PlatformService) -> Result<MutexGuard<'_, PlatformState>> {
+        let delay = self.lock().faults.delay_of(service);
         if delay > 0 {
             tokio::time::sleep(Duration::from_millis(delay)).await;
         }
-    }
-
-    fn table(&self) -> Result<MutexGuard<'_, PlatformState>> {
         let state = self.lock();
-        if state.faults.table_down {
-            Err(Error::unavailable())
-        } else {
-            Ok(state)
+        let faults = &state.faults;
+        if faults.is_down(service) || faults.partitioned.contains(self.client.as_str()) {
+            return Err(Error::unavailable());
         }
+        Ok(state)
+    }
+}
+
+impl FaultPlan {
+    fn delay_of(&self, service: PlatformService) -> u64 {
+        let own = match service {
+            PlatformService::Table => self.table_delay_ms,
+            PlatformService::Object => self.object_delay_ms,
+            PlatformService::Vms | PlatformService::Weights => 0,
+        };
+        self.delay_ms + own
     }
 
-    fn store(&self) -> Result<MutexGuard<'_, PlatformState>> {
-        let state = self.lock();
-        if state.faults.object_down {
-            Err(Error::unavailable())
-        } else {
-            Ok(state)
+    fn is_down(&self, service: PlatformService) -> bool {
+        match service {
+            PlatformService::Table => self.table_down,
+            PlatformService::Object => self.object_down,
+            PlatformService::Vms => self.vms_down,
+            PlatformService::Weights => self.weights_down,
         }
     }
 }
 
+/// Counts down a number of answers to lose; an error when this one is lost.
+fn lose(left: &mut u32) -> Result<()> {
+    if *left == 0 {
+        return Ok(());
+    }
+    *left -= 1;
+    Err(Error::unknown())
+}
+
 impl PlatformState {
+    /// Refuses configuration writes without the operator's credential.
+    fn authorize(&self, writes: &[RowWrite], credential: Option<&SmolStr>) -> Result<()> {
+        let configures = writes
+            .iter()
+            .any(|write| write.key.starts_with(CONFIG_PREFIX));
+        if !configures || self.operator.is_none() || self.operator.as_ref() == credential {
+            return Ok(());
+        }
+        Err(Error::new(
+            Category::Invalid,
+            "the operator credential is missing or wrong; set [operator] credential",
+        ))
+    }
+
     fn transact(&mut self, writes: Vec<RowWrite>) -> TransactOutcome {
         let holds = |write: &RowWrite| {
             self.rows.get(&write.key).map_or(0, |row| row.version) == write.expected
         };
         if !writes.iter().all(holds) {
+            self.counts.conflicts += 1;
             return TransactOutcome::Conflict;
         }
+        self.counts.commits += 1;
         for write in writes {
             self.counts.row_writes += 1;
             self.next_version += 1;
@@ -165,22 +299,37 @@
         }
         TransactOutcome::Committed
     }
+
+    fn vm_list(&self) -> Vec<VmEntry> {
+        let mut vms = BTreeMap::new();
+        for change in &self.vm_changes {
+            if change.at.elapsed() < self.vms_lag {
+                continue;
+            }
+            match change.state {
+                Some(state) => vms.insert(change.vm.clone(), state),
+                None => vms.remove(&change.vm),
+            };
+        }
+        vms.into_iter()
+            .map(|(vm, state)| VmEntry { vm, state })
+            .collect()
+    }
 }
 
 impl TablePort for MemoryPlatform {
     fn read<'a>(&'a self, key: &'a str) -> PortFuture<'a, Option<TableRow>> {
         Box::pin(async move {
-            self.wait().await;
-            let mut state = self.table()?;
+            let mut state = self.enter(PlatformService::Table).await?;
             state.counts.row_reads += 1;
+            lose(&mut state.faults.lose_read_answers)?;
             Ok(state.rows.get(key).cloned())
         })
     }
 
     fn scan<'a>(&'a self, prefix: &'a str) -> PortFuture<'a, Vec<TableRow>> {
         Box::pin(async move {
-            self.wait().await;
-            let mut state = self.table()?;
+            let mut state = self.enter(PlatformService::Table).await?;
             let rows: Vec<TableRow> = state
                 .rows
                 .range(prefix.to_owned()..)
@@ -188,18 +337,18 @@
                 .map(|(_, row)| row.clone())
                 .collect();
             state.counts.row_reads += rows.len().max(1) as u64;
+            lose(&mut state.faults.lose_read_answers)?;
             Ok(rows)
         })
     }
 
     fn transact(&self, writes: Vec<RowWrite>) -> PortFuture<'_, TransactOutcome> {
         Box::pin(async move {
-            self.wait().await;
-            let mut state = self.table()?;
+            let mut state = self.enter(PlatformService::Table).await?;
+            state.authorize(&writes, self.credential.as_ref())?;
             let outcome = state.transact(writes);
-            if outcome == TransactOutcome::Committed && state.faults.lose_answers > 0 {
-                state.faults.lose_answers -= 1;
-                return Err(Error::unknown());
+            if outcome == TransactOutcome::Committed {
+                lose(&mut state.faults.lose_answers)?;
             }
             Ok(outcome)
         })
@@ -209,28 +358,29 @@
 impl ObjectPort for MemoryPlatform {
     fn put_new<'a>(&'a self, key: &'a str, value: Vec<u8>) -> PortFuture<'a, bool> {
         Box::pin(async move {
-            self.wait().await;
-            let mut state = self.store()?;
+            let mut state = self.enter(PlatformService::Object).await?;
             if state.objects.contains_key(key) {
                 return Ok(false);
             }
             state.counts.object_writes += 1;
             state.objects.insert(key.to_owned(), value);
+            lose(&mut state.faults.lose_object_answers)?;
             Ok(true)
         })
     }
 
     fn get<'a>(&'a self, key: &'a str) -> PortFuture<'a, Option<Vec<u8>>> {
         Box::pin(async move {
-            self.wait().await;
-            Ok(self.store()?.objects.get(key).cloned())
+            let mut state = self.enter(PlatformService::Object).await?;
+            state.counts.object_reads += 1;
+            Ok(state.objects.get(key).cloned())
         })
     }
 
     fn list<'a>(&'a self, prefix: &'a str) -> PortFuture<'a, Vec<String>> {
         Box::pin(async move {
-            self.wait().await;
-            let state = self.store()?;
+            let mut state = self.enter(PlatformService::Object).await?;
+            state.counts.object_reads += 1;
             let keys = state.objects.range(prefix.to_owned()..).map(|(key, _)| key);
             Ok(keys
                 .take_while(|key| key.starts_with(prefix))
@@ -243,12 +393,9 @@
 impl VmListPort for MemoryPlatform {
     fn list(&self) -> PortFuture<'_, Vec<VmEntry>> {
         Box::pin(async move {
-            self.wait().await;
-            let state = self.lock();
-            if state.faults.vms_down {
-                return Err(Error::unavailable());
-            }
-            Ok(state.vms.values().cloned().collect())
+            let mut state = self.enter(PlatformService::Vms).await?;
+            state.counts.vm_reads += 1;
+            Ok(state.vm_list())
         })
     }
 }
@@ -256,8 +403,17 @@
 impl WeightPort for MemoryPlatform {
     fn permit<'a>(&'a self, _model: &'a str) -> PortFuture<'a, bool> {
         Box::pin(async move {
-            self.wait().await;
-            Ok(true)
+            let mut state = self.enter(PlatformService::Weights).await?;
+            let now = Instant::now();
+            let permitted = match &mut state.weight_limit {
+                Some(limit) => limit.take(now),
+                None => true,
+            };
+            if permitted {
+                state.counts.permits += 1;
+                lose(&mut state.faults.lose_permit_answers)?;
+            }
+            Ok(permitted)
         })
     }
 }
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -1,7 +1,12 @@
 use std::sync::Arc;
 
 use {
-    axum::{Json, Router, extract::State, routing::post},
+    axum::{
+        Json, Router,
+        extract::{DefaultBodyLimit, State},
+        http::HeaderMap,
+        routing::post,
+    },
     serde::{Deserialize, Serialize},
     tokio::net::TcpListener,
 };
@@ -12,6 +17,13 @@
     port::{ObjectPort, TablePort, VmListPort, WeightPort},
 };
 
+/// Header that names the client of a call.
+pub(crate) const CLIENT_HEADER: &str = "x-jasminewall-client";
+/// Header with the credential of an operator.
+pub(crate) const OPERATOR_HEADER: &str = "x-jasminewall-operator";
+/// Largest call, in bytes; a segment of charge lines is written in one call.
+const CALL_LIMIT: usize = 64 << 20;
+
 /// Call of a port, as the HTTP stand-in reads it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "call", rename_all = "snake_case")]
@@ -103,14 +115,21 @@
 pub async fn serve(platform: MemoryPlatform, listener: TcpListener) -> std::io::Result<()> {
     let app = Router::new()
         .route("/port", post(answer))
+        .layer(DefaultBodyLimit::max(CALL_LIMIT))
         .with_state(Arc::new(platform));
     axum::serve(listener, app).await
 }
 
 async fn answer(
     State(platform): State<Arc<MemoryPlatform>>,
+    headers: HeaderMap,
     Json(request): Json<PortRequest>,
 ) -> Json<Result<PortResponse>> {
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+    let mut platform = platform.client(text(CLIENT_HEADER).unwrap_or_default());
+    if let Some(credential) = text(OPERATOR_HEADER) {
+        platform = platform.operator(credential);
+    }
     Json(call(&platform, request).await)
 }
 
