Report all mistakes of declaration files with their positions

Cause: reading a declaration stopped at the first mistake, references between records were not checked, and schema 1 was read like schema 2.

Change: declarations are read record by record; unknown kinds and fields name the nearest known one, schema 1 lacks class, stop and model, and a cross-check over several files and the records in force covers references, addresses, key hashes, numbers, duplicate names, top-ups that changed and stops that leave too little capacity.

--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -7,8 +7,16 @@
     smol_str::SmolStr,
 };
 
+mod check;
+mod parse;
+
+pub use self::{
+    check::{check, check_removal},
+    parse::{DeclaredRecord, DeclaredSet, read_file},
+};
+
 use crate::{
-    BudgetId, Category, CustomerId, DomainId, EndpointId, Error, Result, RouteId, Tokens,
+    BudgetId, CustomerId, DomainId, EndpointId, Error, Result, RouteId, Tokens,
     admission::WorkClass,
 };
 
@@ -37,6 +45,37 @@
     Model,
 }
 
+impl RecordKind {
+    /// All kinds, in the order in which they depend on each other.
+    pub const ALL: &'static [Self] = &[
+        Self::Customer,
+        Self::Budget,
+        Self::TopUp,
+        Self::Endpoint,
+        Self::Route,
+        Self::Stop,
+        Self::Model,
+    ];
+
+    /// Name of the kind in declarations.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Customer => "customer",
+            Self::Budget => "budget",
+            Self::TopUp => "top_up",
+            Self::Endpoint => "endpoint",
+            Self::Route => "route",
+            Self::Stop => "stop",
+            Self::Model => "model",
+        }
+    }
+
+    /// Kind with a name in declarations.
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.iter().copied().find(|kind| kind.as_str() == name)
+    }
+}
+
 /// One configuration record.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
@@ -246,60 +285,17 @@
     4 << 20
 }
 
-/// A declaration file: records of one schema version.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct DeclarationFile {
-    /// Schema version of the records.
-    pub schema: u32,
-    /// Customers.
-    pub customer: Vec<CustomerRecord>,
-    /// Budgets.
-    pub budget: Vec<BudgetRecord>,
-    /// Payments into budgets.
-    pub top_up: Vec<TopUpRecord>,
-    /// Endpoints.
-    pub endpoint: Vec<EndpointRecord>,
-    /// Routes.
-    pub route: Vec<RouteRecord>,
-    /// Planned stops.
-    pub stop: Vec<StopRecord>,
-    /// Models.
-    pub model: Vec<ModelRecord>,
-}
-
-impl DeclarationFile {
-    /// All records of the file.
-    pub fn into_records(self) -> Vec<ConfigRecord> {
-        let mut records = Vec::new();
-        records.extend(self.customer.into_iter().map(ConfigRecord::Customer));
-        records.extend(self.budget.into_iter().map(ConfigRecord::Budget));
-        records.extend(self.top_up.into_iter().map(ConfigRecord::TopUp));
-        records.extend(self.endpoint.into_iter().map(ConfigRecord::Endpoint));
-        records.extend(self.route.into_iter().map(ConfigRecord::Route));
-        records.extend(self.stop.into_iter().map(ConfigRecord::Stop));
-        records.extend(self.model.into_iter().map(ConfigRecord::Model));
-        records
-    }
-}
-
-/// Reads a declaration file.
+/// Reads one declaration file without its cross-checks.
 ///
 /// # Errors
 ///
-/// `Syntax` for text that is not TOML or has an unknown field, `Schema` for an unknown schema version.
+/// `Syntax`, `Schema` or `Data`; the message has one line for each mistake.
 pub fn from_str(text: &str) -> Result<Vec<ConfigRecord>> {
-    let file: DeclarationFile = toml::from_str(text)
-        .map_err(|error| Error::new(Category::Syntax, error.to_string().trim().to_owned()))?;
-    if !(SCHEMA_OLDEST..=SCHEMA_NEWEST).contains(&file.schema) {
-        return Err(Error::new(
-            Category::Schema,
-            format!(
-                "schema version {} is not known; write 'schema = {SCHEMA_NEWEST}' or update jasminectl",
-                file.schema
-            ),
-        )
-        .at("schema"));
+    let declared = read_file("declarations", text);
+    if declared.errors.is_empty() {
+        return Ok(declared.into_records());
     }
-    Ok(file.into_records())
+    let category = declared.errors[0].category();
+    let lines: Vec<String> = declared.errors.iter().map(Error::to_string).collect();
+    Err(Error::new(category, lines.join("\n")))
 }
--- /dev/null
+++ b/crates/core/src/record/check.rs
@@ -0,0 +1,320 @@
+//! Checks declared records against each other and against the records in force.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use smol_str::SmolStr;
+
+use super::{
+    ConfigRecord, DeclaredRecord, DeclaredSet, EndpointRecord, RecordKind, RouteRecord, StopRecord,
+    parse,
+};
+use crate::{Category, ConfigState, Error};
+
+/// Length of a SHA-256 hash in hex digits.
+const HASH_DIGITS: usize = 64;
+
+/// Checks values, references and capacities of declared records; all mistakes are reported.
+///
+/// `base` has the records in force, which declared records of the same kind and name replace.
+pub fn check(set: &DeclaredSet, base: &ConfigState) -> Vec<Error> {
+    let declared = set.records.as_slice();
+    let mut checker = RecordChecker {
+        view: MergedView::new(declared, base),
+        unread: &set.unread,
+        errors: Vec::new(),
+    };
+    let mut seen = BTreeMap::new();
+    for record in declared {
+        let key = (record.record.kind(), record.record.name().clone());
+        if let Some(first) = seen.insert(key, record) {
+            let message = format!(
+                "the name is taken by {}; use another name or remove one of them",
+                first.position(None)
+            );
+            checker.fail(record, "name", message);
+        }
+        checker.check_record(record, base);
+    }
+    checker.check_keys(declared);
+    checker.errors
+}
+
+/// Names the records that refer to one that is to be removed.
+pub fn check_removal(kind: RecordKind, name: &str, after: &ConfigState) -> Vec<Error> {
+    let refers = |record: &ConfigRecord| match (kind, record) {
+        (RecordKind::Customer, ConfigRecord::Budget(budget)) => budget.customer == name,
+        (RecordKind::Budget, ConfigRecord::TopUp(top_up)) => top_up.budget == name,
+        (RecordKind::Endpoint, ConfigRecord::Route(route)) => route.endpoints.contains(name),
+        (RecordKind::Endpoint, ConfigRecord::Stop(stop)) => stop.endpoint.as_deref() == Some(name),
+        _ => false,
+    };
+    let referring = after.records().filter(|record| refers(record));
+    let describe = |record: &ConfigRecord| {
+        let message = format!(
+            "{} '{}' refers to it; change or remove that first",
+            record.kind().as_str(),
+            record.name()
+        );
+        Error::new(Category::Data, message).at(format!("{} '{name}'", kind.as_str()))
+    };
+    referring.map(describe).collect()
+}
+
+/// Records in force after the declared ones.
+struct MergedView<'a> {
+    records: BTreeMap<(RecordKind, SmolStr), &'a ConfigRecord>,
+}
+
+impl<'a> MergedView<'a> {
+    fn new(declared: &'a [DeclaredRecord], base: &'a ConfigState) -> Self {
+        let declared = declared.iter().map(|declared| &declared.record);
+        let records = base.records().chain(declared);
+        Self {
+            records: records
+                .map(|record| ((record.kind(), record.name().clone()), record))
+                .collect(),
+        }
+    }
+
+    fn names(&self, kind: RecordKind) -> Vec<&str> {
+        let keys = self.records.keys().filter(|key| key.0 == kind);
+        keys.map(|key| key.1.as_str()).collect()
+    }
+
+    fn endpoint(&self, name: &str) -> Option<&'a EndpointRecord> {
+        match self.records.get(&(RecordKind::Endpoint, name.into())) {
+            Some(ConfigRecord::Endpoint(endpoint)) => Some(endpoint),
+            _ => None,
+        }
+    }
+
+    fn routes(&self) -> impl Iterator<Item = &'a RouteRecord> {
+        self.records.values().filter_map(|record| match record {
+            ConfigRecord::Route(route) => Some(route),
+            _ => None,
+        })
+    }
+
+    fn stops(&self) -> impl Iterator<Item = &'a StopRecord> {
+        self.records.values().filter_map(|record| match record {
+            ConfigRecord::Stop(stop) => Some(stop),
+            _ => None,
+        })
+    }
+}
+
+struct RecordChecker<'a> {
+    view: MergedView<'a>,
+    unread: &'a [(RecordKind, SmolStr)],
+    errors: Vec<Error>,
+}
+
+impl RecordChecker<'_> {
+    fn fail(&mut self, record: &DeclaredRecord, field: &str, message: impl Into<String>) {
+        let error = Error::new(Category::Data, message);
+        self.errors.push(error.at(record.position(Some(field))));
+    }
+
+    /// Reports a number that must be at least 1.
+    fn positive(&mut self, declared: &DeclaredRecord, field: &str, number: u64) {
+        if number == 0 {
+            self.fail(declared, field, "the number is 0; write 1 or more");
+        }
+    }
+
+    /// Reports a reference to a record that does not exist.
+    fn refer(&mut self, declared: &DeclaredRecord, field: &str, kind: RecordKind, name: &str) {
+        let names = self.view.names(kind);
+        let mut unread = self.unread.iter();
+        if names.contains(&name) || unread.any(|(of, is)| *of == kind && is == name) {
+            return;
+        }
+        let kind = kind.as_str();
+        let hint = match names.is_empty() {
+            true => format!("declare a [[{kind}]] of that name"),
+            false => parse::nearest(name, names.into_iter()),
+        };
+        let message = format!("no {kind} is named '{name}'; {hint}");
+        self.fail(declared, field, message);
+    }
+
+    fn check_record(&mut self, declared: &DeclaredRecord, base: &ConfigState) {
+        let name = declared.record.name();
+        let bad = |letter: char| letter == '/' || letter.is_whitespace() || letter.is_control();
+        if name.is_empty() || name.contains(bad) {
+            let message =
+                "the name is empty or has spaces or '/'; use letters, digits, '-' and '.'";
+            self.fail(declared, "name", message);
+        }
+        match &declared.record {
+            ConfigRecord::Customer(customer) => {
+                self.positive(declared, "weight", customer.weight.into());
+                for hash in &customer.key_sha256 {
+                    let digits =
+                        |digit: char| digit.is_ascii_digit() || ('a'..='f').contains(&digit);
+                    if hash.len() != HASH_DIGITS || !hash.chars().all(digits) {
+                        let message = "a key hash is not 64 lower-case hex digits; write the output of 'jasminectl hash-key'";
+                        self.fail(declared, "key_sha256", message);
+                    }
+                }
+            }
+            ConfigRecord::Budget(budget) => {
+                self.refer(declared, "customer", RecordKind::Customer, &budget.customer);
+            }
+            ConfigRecord::TopUp(top_up) => {
+                self.refer(declared, "budget", RecordKind::Budget, &top_up.budget);
+                if top_up.amount == 0 {
+                    self.fail(
+                        declared,
+                        "amount",
+                        "the amount is 0; write the tokens paid in",
+                    );
+                }
+                let in_force = base.get(RecordKind::TopUp, &top_up.name);
+                if in_force.is_some_and(|record| *record != declared.record) {
+                    let message = "a top-up takes effect once and cannot be changed; use another name for another payment";
+                    self.fail(declared, "name", message);
+                }
+            }
+            ConfigRecord::Endpoint(endpoint) => {
+                self.positive(declared, "slots", endpoint.slots.into());
+                if endpoint.address.parse::<SocketAddr>().is_err() {
+                    let message = format!(
+                        "'{}' is not an address; write ip:port, such as 10.0.0.7:8000",
+                        endpoint.address
+                    );
+                    self.fail(declared, "address", message);
+                }
+                if endpoint.failure_domain.is_empty() {
+                    self.fail(declared, "failure_domain", "name the failure domain");
+                }
+            }
+            ConfigRecord::Route(route) => self.check_route(declared, route),
+            ConfigRecord::Stop(stop) => self.check_stop(declared, stop),
+            ConfigRecord::Model(model) => {
+                self.positive(declared, "replicas", model.replicas.into());
+            }
+        }
+    }
+
+    fn check_route(&mut self, declared: &DeclaredRecord, route: &RouteRecord) {
+        self.positive(declared, "max_output", route.max_output);
+        self.positive(declared, "time_limit_ms", route.time_limit_ms);
+        self.positive(
+            declared,
+            "answer_limit_bytes",
+            route.answer_limit_bytes as u64,
+        );
+        if route.endpoints.is_empty() {
+            self.fail(declared, "endpoints", "the list is empty; name an endpoint");
+        }
+        for endpoint in &route.endpoints {
+            self.refer(declared, "endpoints", RecordKind::Endpoint, endpoint);
+        }
+        let endpoints = route.endpoints.iter();
+        let mut runs = endpoints.filter_map(|name| Some(self.view.endpoint(name)?.runs));
+        let first = runs.next();
+        if runs.any(|kind| Some(kind) != first) {
+            let message = "the list mixes model engines and plain services; make a route for each";
+            self.fail(declared, "endpoints", message);
+        }
+    }
+
+    fn check_stop(&mut self, declared: &DeclaredRecord, stop: &StopRecord) {
+        match (&stop.endpoint, &stop.failure_domain) {
+            (Some(endpoint), None) => {
+                self.refer(declared, "endpoint", RecordKind::Endpoint, endpoint);
+            }
+            (None, Some(_)) => {}
+            _ => self.fail(
+                declared,
+                "endpoint",
+                "name either 'endpoint' or 'failure_domain'",
+            ),
+        }
+        if stop.from >= stop.until {
+            let message = "the window is empty; write an 'until' after 'from'";
+            self.fail(declared, "until", message);
+            return;
+        }
+        if stop.remaining_percent > 100 {
+            self.fail(
+                declared,
+                "remaining_percent",
+                "write a percentage from 0 to 100",
+            );
+            return;
+        }
+        let shortages: Vec<String> = self
+            .view
+            .routes()
+            .filter_map(|route| self.shortage(stop, route))
+            .collect();
+        for shortage in shortages {
+            self.fail(declared, "remaining_percent", shortage);
+        }
+    }
+
+    /// Says how many slots a route would keep during a stop, when they are too few.
+    fn shortage(&self, stop: &StopRecord, route: &RouteRecord) -> Option<String> {
+        let overlapping: Vec<&StopRecord> = self
+            .view
+            .stops()
+            .filter(|other| other.from < stop.until && stop.from < other.until)
+            .collect();
+        let (mut total, mut remaining, mut touched) = (0, 0, false);
+        for endpoint in route
+            .endpoints
+            .iter()
+            .filter_map(|name| self.view.endpoint(name))
+        {
+            let slots = u64::from(endpoint.slots);
+            let stops = |stop: &StopRecord| {
+                stop.endpoint.as_ref() == Some(&endpoint.name)
+                    || stop.failure_domain.as_ref() == Some(&endpoint.failure_domain)
+            };
+            total += slots;
+            touched |= stops(stop);
+            if !endpoint.leaving && !overlapping.iter().any(|other| stops(other)) {
+                remaining += slots;
+            }
+        }
+        let minimum = u64::from(stop.remaining_percent);
+        if !touched || remaining * 100 >= total * minimum {
+            return None;
+        }
+        Some(format!(
+            "route '{}' would keep {remaining} of {total} slots, under the minimum of {minimum}%; \
+             choose another window, stop fewer endpoints or lower 'remaining_percent'",
+            route.name
+        ))
+    }
+
+    /// Reports a key hash that two customers have, since it would not say who is calling.
+    fn check_keys(&mut self, declared: &[DeclaredRecord]) {
+        let mut owners = BTreeMap::<&SmolStr, BTreeSet<&SmolStr>>::new();
+        for record in self.view.records.values() {
+            if let ConfigRecord::Customer(customer) = record {
+                for hash in &customer.key_sha256 {
+                    owners.entry(hash).or_default().insert(&customer.name);
+                }
+            }
+        }
+        for record in declared {
+            let ConfigRecord::Customer(customer) = &record.record else {
+                continue;
+            };
+            let shared = customer
+                .key_sha256
+                .iter()
+                .find(|hash| owners[*hash].len() > 1);
+            if shared.is_some() {
+                let message = "a key belongs to two customers; give each customer its own key";
+                self.fail(record, "key_sha256", message);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/record/parse.rs
@@ -0,0 +1,331 @@
+//! Reads declaration files record by record, so that one report has all mistakes with their lines.
+
+use std::collections::BTreeMap;
+
+use {
+    serde::de::DeserializeOwned,
+    smol_str::{SmolStr, format_smolstr},
+    toml::{
+        Spanned,
+        de::{DeTable, DeValue, ValueDeserializer},
+    },
+};
+
+use super::{ConfigRecord, RecordKind, SCHEMA_NEWEST, SCHEMA_OLDEST};
+use crate::{Category, Error};
+
+/// Schema version that added `class`, `stop` and `model`.
+const SCHEMA_WITH_CLASSES: u32 = 2;
+
+/// Record with the place of its declaration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DeclaredRecord {
+    /// Record.
+    pub record: ConfigRecord,
+    /// Schema version of its file.
+    pub schema: u32,
+    place: RecordPlace,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct RecordPlace {
+    file: SmolStr,
+    line: usize,
+    fields: BTreeMap<SmolStr, usize>,
+}
+
+impl DeclaredRecord {
+    /// Record that a command line declares instead of a file.
+    pub fn from_command(record: ConfigRecord) -> Self {
+        Self {
+            record,
+            schema: SCHEMA_NEWEST,
+            place: RecordPlace {
+                file: "command line".into(),
+                line: 0,
+                fields: BTreeMap::new(),
+            },
+        }
+    }
+
+    /// File, line, record and field, for error messages.
+    pub fn position(&self, field: Option<&str>) -> SmolStr {
+        let line = field.and_then(|field| self.place.fields.get(field));
+        let line = line.copied().unwrap_or(self.place.line);
+        let kind = self.record.kind().as_str();
+        let name = self.record.name();
+        let mut text = self.place.file.to_string();
+        if line > 0 {
+            text.push_str(&format!(":{line}"));
+        }
+        text.push_str(&format!(": {kind} '{name}'"));
+        if let Some(field) = field {
+            text.push_str(&format!(", field '{field}'"));
+        }
+        text.into()
+    }
+}
+
+/// Records and mistakes of declaration files.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct DeclaredSet {
+    /// Records that could be read.
+    pub records: Vec<DeclaredRecord>,
+    /// Mistakes, in the order of the files.
+    pub errors: Vec<Error>,
+    /// Kinds and names of records that could not be read; references to them are not mistakes.
+    pub unread: Vec<(RecordKind, SmolStr)>,
+}
+
+impl DeclaredSet {
+    /// Adds the records and mistakes of another file.
+    pub fn extend(&mut self, other: Self) {
+        self.records.extend(other.records);
+        self.errors.extend(other.errors);
+        self.unread.extend(other.unread);
+    }
+
+    /// Records without their places.
+    pub fn into_records(self) -> Vec<ConfigRecord> {
+        let records = self.records.into_iter();
+        records.map(|declared| declared.record).collect()
+    }
+}
+
+/// Reads a declaration file; mistakes are collected and do not hide each other.
+pub fn read_file(file: &str, text: &str) -> DeclaredSet {
+    let mut reader = FileReader {
+        file,
+        text,
+        schema: SCHEMA_NEWEST,
+        set: DeclaredSet::default(),
+    };
+    let (table, errors) = DeTable::parse_recoverable(text);
+    for error in &errors {
+        let line = error.span().map_or(1, |span| reader.line_of(span.start));
+        let message = error.message().replace('\n', "; ");
+        reader.fail(Category::Syntax, line, &message);
+    }
+    if errors.is_empty() && reader.read_schema(table.get_ref()) {
+        reader.read_kinds(table.into_inner());
+    }
+    reader.set
+}
+
+struct FileReader<'a> {
+    file: &'a str,
+    text: &'a str,
+    schema: u32,
+    set: DeclaredSet,
+}
+
+impl FileReader<'_> {
+    fn line_of(&self, offset: usize) -> usize {
+        let before = self.text.get(..offset).unwrap_or(self.text);
+        1 + before.matches('\n').count()
+    }
+
+    fn fail(&mut self, category: Category, line: usize, message: &str) {
+        let position = format_smolstr!("{}:{line}", self.file);
+        self.set
+            .errors
+            .push(Error::new(category, message).at(position));
+    }
+
+    /// Reads the schema version; false when the records cannot be read without it.
+    fn read_schema(&mut self, table: &DeTable<'_>) -> bool {
+        let Some(value) = table.get("schema") else {
+            let message = format!("the schema is missing; begin with 'schema = {SCHEMA_NEWEST}'");
+            self.fail(Category::Schema, 1, &message);
+            return false;
+        };
+        let line = self.line_of(value.span().start);
+        let number = value.get_ref().as_integer();
+        let number = number.and_then(|number| number.as_str().parse().ok());
+        match number {
+            Some(schema) if (SCHEMA_OLDEST..=SCHEMA_NEWEST).contains(&schema) => {
+                self.schema = schema;
+                true
+            }
+            _ => {
+                let found = &self.text[value.span()];
+                let message = format!(
+                    "schema version {found} is not known; write 'schema = {SCHEMA_NEWEST}' or update jasminectl"
+                );
+                self.fail(Category::Schema, line, &message);
+                false
+            }
+        }
+    }
+
+    fn read_kinds(&mut self, table: DeTable<'_>) {
+        for (key, value) in table {
+            let line = self.line_of(key.span().start);
+            let name = key.get_ref().as_ref();
+            if name == "schema" {
+                continue;
+            }
+            let Some(kind) = RecordKind::from_name(name) else {
+                let names = RecordKind::ALL.iter().map(|kind| kind.as_str());
+                let message = format!("unknown kind '{name}'; {}", nearest(name, names));
+                self.fail(Category::Schema, line, &message);
+                continue;
+            };
+            if self.schema < since(kind, "") {
+                let message = format!("kind '{name}' needs 'schema = {}'", since(kind, ""));
+                self.fail(Category::Schema, line, &message);
+                continue;
+            }
+            let DeValue::Array(entries) = value.into_inner() else {
+                let message = format!("write each {name} as a [[{name}]] section");
+                self.fail(Category::Syntax, line, &message);
+                continue;
+            };
+            for entry in entries {
+                self.read_record(kind, entry);
+            }
+        }
+    }
+
+    fn read_record(&mut self, kind: RecordKind, mut entry: Spanned<DeValue<'_>>) {
+        let span = entry.span();
+        let line = self.line_of(span.start);
+        let name = entry.get_ref().get("name");
+        let name = name.and_then(|name| Some(SmolStr::new(name.get_ref().as_str()?)));
+        let label = match &name {
+            Some(name) => format!("{} '{name}'", kind.as_str()),
+            None => kind.as_str().to_owned(),
+        };
+        let DeValue::Table(table) = entry.get_mut() else {
+            let message = format!("write each {0} as a [[{0}]] section", kind.as_str());
+            self.fail(Category::Syntax, line, &message);
+            return;
+        };
+        let fields = self.check_fields(kind, &label, table);
+        match read_kind(kind, entry) {
+            Err(error) => {
+                let at = error.span().filter(|at| *at != span);
+                let line = at.map_or(line, |at| self.line_of(at.start));
+                let message = format!("{label}: {}", error.message().trim());
+                self.fail(Category::Data, line, &message);
+                self.set.unread.extend(name.map(|name| (kind, name)));
+            }
+            Ok(record) => self.set.records.push(DeclaredRecord {
+                record,
+                schema: self.schema,
+                place: RecordPlace {
+                    file: self.file.into(),
+                    line,
+                    fields,
+                },
+            }),
+        }
+    }
+
+    /// Refuses unknown fields and takes them out, so that the rest of the record is checked too.
+    fn check_fields(
+        &mut self,
+        kind: RecordKind,
+        label: &str,
+        table: &mut DeTable<'_>,
+    ) -> BTreeMap<SmolStr, usize> {
+        let known = fields_of(kind);
+        let mut lines = BTreeMap::new();
+        let mut unknown = Vec::new();
+        for (key, _) in table.iter() {
+            let name = SmolStr::new(key.get_ref());
+            let line = self.line_of(key.span().start);
+            if !known.contains(&name.as_str()) {
+                let hint = nearest(&name, known.iter().copied());
+                let message = format!("{label}: unknown field '{name}'; {hint}");
+                self.fail(Category::Schema, line, &message);
+                unknown.push(key.clone());
+            } else if self.schema < since(kind, &name) {
+                let needed = since(kind, &name);
+                let message = format!("{label}: field '{name}' needs 'schema = {needed}'");
+                self.fail(Category::Schema, line, &message);
+            }
+            lines.insert(name, line);
+        }
+        for key in unknown {
+            table.remove(&key);
+        }
+        lines
+    }
+}
+
+/// Names the nearest known name, or all of them when none is near.
+pub(crate) fn nearest<'a>(name: &str, known: impl Iterator<Item = &'a str>) -> String {
+    let known: Vec<&str> = known.collect();
+    let distance = |other: &&&str| strsim::damerau_levenshtein(name, other);
+    match known.iter().min_by_key(distance) {
+        Some(near) if distance(&near) <= 1 + name.len() / 3 => format!("did you mean '{near}'?"),
+        _ => format!("use one of: {}", known.join(", ")),
+    }
+}
+
+fn read_kind(
+    kind: RecordKind,
+    entry: Spanned<DeValue<'_>>,
+) -> Result<ConfigRecord, toml::de::Error> {
+    fn read<T: DeserializeOwned>(entry: Spanned<DeValue<'_>>) -> Result<T, toml::de::Error> {
+        T::deserialize(ValueDeserializer::from(entry))
+    }
+    Ok(match kind {
+        RecordKind::Customer => ConfigRecord::Customer(read(entry)?),
+        RecordKind::Budget => ConfigRecord::Budget(read(entry)?),
+        RecordKind::TopUp => ConfigRecord::TopUp(read(entry)?),
+        RecordKind::Endpoint => ConfigRecord::Endpoint(read(entry)?),
+        RecordKind::Route => ConfigRecord::Route(read(entry)?),
+        RecordKind::Stop => ConfigRecord::Stop(read(entry)?),
+        RecordKind::Model => ConfigRecord::Model(read(entry)?),
+    })
+}
+
+/// Schema version that added a kind, or a field of it.
+fn since(kind: RecordKind, field: &str) -> u32 {
+    match (kind, field) {
+        (RecordKind::Stop | RecordKind::Model, _) | (RecordKind::Route, "class") => {
+            SCHEMA_WITH_CLASSES
+        }
+        _ => SCHEMA_OLDEST,
+    }
+}
+
+/// Fields of a kind; a test compares them with the records.
+fn fields_of(kind: RecordKind) -> &'static [&'static str] {
+    match kind {
+        RecordKind::Customer => &["name", "key_sha256", "weight"],
+        RecordKind::Budget => &["name", "customer"],
+        RecordKind::TopUp => &["name", "budget", "amount"],
+        RecordKind::Endpoint => &[
+            "name",
+            "runs",
+            "address",
+            "failure_domain",
+            "slots",
+            "honours_fencing",
+            "lists_streams",
+            "leaving",
+        ],
+        RecordKind::Route => &[
+            "name",
+            "endpoints",
+            "idempotent",
+            "class",
+            "price",
+            "max_output",
+            "time_limit_ms",
+            "answer_limit_bytes",
+        ],
+        RecordKind::Stop => &[
+            "name",
+            "endpoint",
+            "failure_domain",
+            "from",
+            "until",
+            "remaining_percent",
+        ],
+        RecordKind::Model => &["name", "version", "replicas"],
+    }
+}
