Add the operators' commands to jasminectl

Cause: operators could only check one file; there was no way to change the configuration, pay into a budget, or explain a bill.

Change: check, diff, apply, get, top-up, drain, explain, ledger, status and hash-key, with INI settings, JSON output and exit codes. A change is one transaction on config/head; top-ups follow as an idempotent step on the pool rows; lost answers are read back; a conflict names the revision in force. The ledger says when its parts do not add up.

Conclusion: two operators can work at once and repeat any command. status asks routers for /version, which they do not serve yet, so it has no test yet.

--- /dev/null
+++ b/crates/ctl/src/explain.rs
@@ -0,0 +1,205 @@
+//! Explains the end of one request from the charge segments and claim rows.
+
+use {
+    jasminewall_core::{
+        budget::grant_key,
+        segment::{ChargeLine, OpenRequest, SegmentRecord},
+    },
+    serde_json::{Value, json},
+};
+
+use crate::{CommandReport, ControlClient, ExitKind, Result, client::parse};
+
+/// Prefix of all charge segments.
+const SEGMENT_PREFIX: &str = "segment/";
+/// Prefix of all claim rows.
+const CLAIM_PREFIX: &str = "claim/";
+/// Hex digits at the end of a request id, after the name of its VM.
+const REQUEST_DIGITS: usize = 16;
+
+/// What the object store says of a request.
+enum RequestTrace {
+    Ended {
+        line: ChargeLine,
+        key: String,
+        committed: bool,
+    },
+    Open {
+        open: OpenRequest,
+        key: String,
+    },
+}
+
+impl ControlClient {
+    /// Says in one sentence what became of a request, with the facts behind it.
+    ///
+    /// # Errors
+    ///
+    /// `Unreachable` without the platform.
+    pub async fn explain(&self, request: &str) -> Result<CommandReport> {
+        let trace = self.find_trace(request).await?;
+        let claim = self.find_claim(request).await?;
+        let mut sentence = match &trace {
+            Some(trace) => trace.sentence(),
+            None => claim_sentence(claim.as_ref()),
+        };
+        let mut facts = trace.iter().map(RequestTrace::fact).collect::<Vec<_>>();
+        if let Some((key, value)) = &claim {
+            let state = value["state"]["state"].as_str().unwrap_or("unreadable");
+            facts.push(format!("claim row {key}: {state}"));
+        }
+        if facts.is_empty() {
+            sentence = format!("No record of request {request} was found. {sentence}");
+            facts.push("no charge segment and no claim row names the request".into());
+        }
+        let found = trace.is_some() || claim.is_some();
+        Ok(CommandReport {
+            exit: if found {
+                ExitKind::Done
+            } else {
+                ExitKind::Refused
+            },
+            text: format!("{sentence}\n  {}", facts.join("\n  ")),
+            json: json!({"request": request, "sentence": sentence, "facts": facts, "found": found}),
+        })
+    }
+
+    async fn find_trace(&self, request: &str) -> Result<Option<RequestTrace>> {
+        // A request id begins with the VM that took it, whose segments are searched first.
+        let vm = request.len().checked_sub(REQUEST_DIGITS + 1);
+        let vm = vm.and_then(|end| request.get(..end)).unwrap_or_default();
+        let own = format!("{SEGMENT_PREFIX}{vm}.");
+        let mut keys = self.ports.object.list(&own).await?;
+        let first = keys.len();
+        let all = self.ports.object.list(SEGMENT_PREFIX).await?;
+        keys.extend(all.into_iter().filter(|key| !key.starts_with(&own)));
+        let mut open = None;
+        for (index, key) in keys.iter().enumerate() {
+            if index == first && open.is_some() {
+                break;
+            }
+            let Some(bytes) = self.ports.object.get(key).await? else {
+                continue;
+            };
+            let segment: SegmentRecord = parse(key, &String::from_utf8_lossy(&bytes))?;
+            if let Some(line) = segment.lines.iter().find(|line| line.request == request) {
+                return Ok(Some(RequestTrace::Ended {
+                    line: line.clone(),
+                    key: key.clone(),
+                    committed: self.is_committed(&segment).await?,
+                }));
+            }
+            if let Some(found) = segment.open.iter().find(|open| open.request == request) {
+                open = Some(RequestTrace::Open {
+                    open: found.clone(),
+                    key: key.clone(),
+                });
+            }
+        }
+        Ok(open)
+    }
+
+    /// Whether the commit that a segment belongs to took effect; a row that is gone was settled.
+    async fn is_committed(&self, segment: &SegmentRecord) -> Result<bool> {
+        let key = grant_key(segment.shard, &segment.holder);
+        let Some(row) = self.ports.table.read(&key).await? else {
+            return Ok(true);
+        };
+        let row: Value = parse(&key, &row.value)?;
+        Ok(row["seq"].as_u64().unwrap_or(0) >= segment.seq)
+    }
+
+    async fn find_claim(&self, request: &str) -> Result<Option<(String, Value)>> {
+        for row in self.ports.table.scan(CLAIM_PREFIX).await? {
+            let value: Value = parse(&row.key, &row.value)?;
+            if value["request"] == request {
+                return Ok(Some((row.key, value)));
+            }
+        }
+        Ok(None)
+    }
+}
+
+impl RequestTrace {
+    fn sentence(&self) -> String {
+        match self {
+            Self::Ended {
+                line, committed, ..
+            } => {
+                let charge = match (line.tokens, committed) {
+                    (0, _) => "nothing was charged".to_owned(),
+                    (tokens, true) => {
+                        format!("{tokens} tokens were charged to budget {}", line.budget)
+                    }
+                    (tokens, false) => format!(
+                        "its {tokens} tokens are on the way to the bill of budget {}",
+                        line.budget
+                    ),
+                };
+                let place = line.endpoint.as_deref().unwrap_or("no endpoint");
+                let customer = &line.customer;
+                match line.outcome.as_str() {
+                    "ran" => format!(
+                        "The request of customer {customer} ran to its end at {place}; {charge}."
+                    ),
+                    "cancelled" => format!(
+                        "The caller of customer {customer} left while the request ran at {place}; {charge}."
+                    ),
+                    "failed" => format!(
+                        "Endpoint {place} failed while it had the request of customer {customer}; {charge}."
+                    ),
+                    "not_run" => {
+                        format!("The request of customer {customer} did not run; {charge}.")
+                    }
+                    _ => format!(
+                        "The request of customer {customer} may have run at {place} and will not be run again; {charge}."
+                    ),
+                }
+            }
+            Self::Open { open, .. } => format!(
+                "The request is running, or its router is gone and it is not settled yet; {} tokens of budget {} are held for it.",
+                open.hold, open.budget
+            ),
+        }
+    }
+
+    fn fact(&self) -> String {
+        match self {
+            Self::Ended {
+                line,
+                key,
+                committed,
+            } => format!(
+                "charge line in {key}: route {}, endpoint {}, outcome {}, {} tokens, {}",
+                line.route,
+                line.endpoint.as_deref().unwrap_or("none"),
+                line.outcome,
+                line.tokens,
+                if *committed {
+                    "committed"
+                } else {
+                    "not committed yet"
+                }
+            ),
+            Self::Open { open, key } => format!(
+                "open request in {key}: endpoint {}, {} tokens held",
+                open.endpoint.as_deref().unwrap_or("none"),
+                open.hold
+            ),
+        }
+    }
+}
+
+fn claim_sentence(claim: Option<&(String, Value)>) -> String {
+    let state = claim.and_then(|(_, value)| value["state"]["state"].as_str());
+    let charged = claim.map_or(0, |(_, value)| {
+        value["state"]["charged"].as_u64().unwrap_or(0)
+    });
+    match state {
+        Some("ran") => format!("The request ran once and {charged} tokens were charged."),
+        Some("not_run") => "The request did not run; nothing was charged.".into(),
+        Some("open") => "The request is claimed and may be running; it will not be run by anyone else.".into(),
+        Some(_) => "The request may have run; it will not be run again.".into(),
+        None => "It was refused before it was sent to an endpoint, so it did not run and cost nothing, or its router has not committed its charges yet; ask again in a minute.".into(),
+    }
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,17 +1,31 @@
 //! Command line of operators and customers of a jasminewall fleet.
 //!
 //! ```
-//! let records = jasminewall_ctl::check("schema = 2\n[[budget]]\nname = \"b\"\ncustomer = \"c\"\n");
-//! assert_eq!(records.expect("the declarations are valid").len(), 1);
+//! use jasminewall_ctl::{ApplyOption, ControlClient, DeclaredText};
+//! use jasminewall_platform::MemoryPlatform;
+//!
+//! # tokio::runtime::Runtime::new().expect("runtime").block_on(async {
+//! let client = ControlClient::new(MemoryPlatform::new().ports(), 4);
+//! let text = "schema = 2\n[[customer]]\nname = \"parish\"\nkey_sha256 = []\n";
+//! let files = [DeclaredText::new("fleet.toml", text)];
+//! let report = client.apply(&files, &ApplyOption::default()).await.expect("the table answers");
+//! assert_eq!(report.text, "+ customer parish\nrevision 1 is accepted, with 1 changed record");
+//! # });
 //! ```
 
-use jasminewall_core::{ConfigRecord, Result, record};
+mod client;
+mod command;
+mod declare;
+mod error;
+mod explain;
+mod ledger;
+mod setting;
+mod status;
 
-/// Reads and checks declarations.
-///
-/// # Errors
-///
-/// Names the line or field and the remedy.
-pub fn check(text: &str) -> Result<Vec<ConfigRecord>> {
-    record::from_str(text)
-}
+pub use crate::{
+    client::ControlClient,
+    command::{DrainTarget, TopUpOrder, check, hash_key},
+    declare::{ApplyOption, DeclaredText},
+    error::{CommandReport, Error, ExitKind, Result},
+    setting::ControlSetting,
+};
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,36 +1,267 @@
 //! Binary of the operators' command line.
 
-use anyhow::{Context, Result};
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+    time::Duration,
+};
+
+use {
+    anyhow::{Context, Result},
+    jasminewall_ctl::{
+        ApplyOption, CommandReport, ControlClient, ControlSetting, DeclaredText, DrainTarget,
+        Error, ExitKind, TopUpOrder, check, hash_key,
+    },
+    serde_json::json,
+};
 
 mod flags {
     #![allow(missing_docs, unreachable_pub, clippy::unwrap_used)]
     use std::path::PathBuf;
 
     xflags::xflags! {
-        /// Checks and applies declarations of a jasminewall fleet.
+        /// Checks, applies and explains the configuration and the budgets of a jasminewall fleet.
+        ///
+        /// Exit codes: 0 done, 1 refused or invalid, 2 usage, 3 conflict with another operator,
+        /// 4 the platform or a router cannot be reached.
         cmd jasminectl {
-            /// Check a declaration file.
+            /// Settings, an INI file; jasminectl.ini by default.
+            optional --settings settings: PathBuf
+            /// Print JSON.
+            optional --json
+
+            /// Check declaration files; all mistakes are reported.
+            /// Example: jasminectl check customers.toml endpoints.toml
             cmd check {
-                /// Declarations, a TOML file.
-                required file: PathBuf
+                /// Declarations, TOML files.
+                repeated files: PathBuf
+                /// Check against the records in force as well.
+                optional --online
+            }
+            /// Show what apply would change.
+            /// Example: jasminectl diff fleet.toml
+            cmd diff {
+                /// Declarations, TOML files.
+                repeated files: PathBuf
+                /// Record to remove, as kind/name.
+                repeated --remove record: String
+            }
+            /// Put declarations in force, all of them or none; applying twice changes nothing.
+            /// Example: jasminectl apply fleet.toml --base 41
+            cmd apply {
+                /// Declarations, TOML files.
+                repeated files: PathBuf
+                /// Record to remove, as kind/name.
+                repeated --remove record: String
+                /// Revision that diff showed; another one in force is a conflict.
+                optional --base revision: u64
+            }
+            /// Print records in force as declarations.
+            /// Example: jasminectl get endpoint engine-a1
+            cmd get {
+                /// Kind of record.
+                optional kind: String
+                /// Name of the record.
+                optional name: String
+            }
+            /// Pay tokens into a budget; a repeat with the same id adds nothing.
+            /// Example: jasminectl top-up parish-2026 250000 --id invoice-118
+            cmd top-up {
+                /// Budget that receives the tokens.
+                required budget: String
+                /// Tokens paid in; use --take to take free tokens back.
+                required amount: u64
+                /// Id of the payment.
+                required --id id: String
+                /// Take free tokens back instead.
+                optional --take
+            }
+            /// Keep new work off an endpoint or a failure domain.
+            /// Example: jasminectl drain --leaving engine-a1
+            /// Example: jasminectl drain --stop roof-works --failure-domain domain-a --from 1767225600 --until 1767229200
+            cmd drain {
+                /// Endpoint that leaves for good.
+                optional --leaving endpoint: String
+                /// Endpoint that takes work again.
+                optional --returning endpoint: String
+                /// Name of a planned stop.
+                optional --stop name: String
+                /// Endpoint that stops.
+                optional --endpoint endpoint: String
+                /// Failure domain that stops.
+                optional --failure-domain domain: String
+                /// Start of the stop, in seconds since the Unix epoch.
+                optional --from seconds: u64
+                /// End of the stop, in seconds since the Unix epoch.
+                optional --until seconds: u64
+                /// Share of the slots of each route that must remain, in percent; 50 by default.
+                optional --remaining percent: u32
+            }
+            /// Say in one sentence what became of a request.
+            /// Example: jasminectl explain vm-1-00f3a29be1c07d55
+            cmd explain {
+                /// Id of the request, from the header x-jasminewall-request.
+                required request: String
             }
+            /// Show where the tokens of each budget are, and whether they add up.
+            /// Example: jasminectl ledger parish-2026
+            cmd ledger {
+                /// Budget.
+                optional budget: String
+            }
+            /// Show which VMs have the newest revision in force.
+            /// Example: jasminectl status --wait 16
+            cmd status {
+                /// Seconds to wait until all VMs have it.
+                optional --wait seconds: u64
+            }
+            /// Print the SHA-256 of a caller key, read from standard input.
+            /// Example: jasminectl hash-key < key.txt
+            cmd hash-key {}
         }
     }
 }
 
-fn main() -> Result<()> {
-    let command = flags::Jasminectl::from_env_or_exit();
-    match command.subcommand {
-        flags::JasminectlCmd::Check(check) => {
-            let text = std::fs::read_to_string(&check.file)
-                .with_context(|| format!("cannot read {}", check.file.display()))?;
-            let records = jasminewall_ctl::check(&text)?;
+use flags::{Drain, Jasminectl, JasminectlCmd};
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let command = Jasminectl::from_env_or_exit();
+    let json = command.json;
+    let exit = match run(command).await {
+        Ok(report) => {
             println!(
-                "{}: {} records are valid",
-                check.file.display(),
-                records.len()
+                "{}",
+                if json {
+                    report.json.to_string()
+                } else {
+                    report.text
+                }
             );
+            report.exit
+        }
+        Err(error) => {
+            let exit = error.downcast_ref().map_or(ExitKind::Usage, Error::exit);
+            let text = format!("{error:#}");
+            if json {
+                println!("{}", json!({"error": text, "exit": exit as u8}));
+            } else {
+                eprintln!("{text}");
+            }
+            exit
+        }
+    };
+    ExitCode::from(exit as u8)
+}
+
+async fn run(command: Jasminectl) -> Result<CommandReport> {
+    let settings = command.settings.clone();
+    let client = || connect(settings.as_deref());
+    Ok(match command.subcommand {
+        JasminectlCmd::Check(args) if !args.online => check(&read(&args.files)?)?,
+        JasminectlCmd::Check(args) => client()?.check(&read(&args.files)?).await?,
+        JasminectlCmd::Diff(args) => {
+            let option = ApplyOption {
+                base: None,
+                remove: args.remove,
+            };
+            client()?
+                .diff(&read_or_remove(&args.files, &option)?, &option)
+                .await?
         }
+        JasminectlCmd::Apply(args) => {
+            let option = ApplyOption {
+                base: args.base,
+                remove: args.remove,
+            };
+            client()?
+                .apply(&read_or_remove(&args.files, &option)?, &option)
+                .await?
+        }
+        JasminectlCmd::Get(args) => {
+            let client = client()?;
+            client
+                .get(args.kind.as_deref(), args.name.as_deref())
+                .await?
+        }
+        JasminectlCmd::TopUp(args) => {
+            let amount = i64::try_from(args.amount).context("the amount is too large")?;
+            let order = TopUpOrder {
+                id: args.id,
+                budget: args.budget,
+                amount: if args.take { -amount } else { amount },
+            };
+            client()?.top_up(&order).await?
+        }
+        JasminectlCmd::Drain(args) => client()?.drain(&target(args)?).await?,
+        JasminectlCmd::Explain(args) => client()?.explain(&args.request).await?,
+        JasminectlCmd::Ledger(args) => client()?.ledger(args.budget.as_deref()).await?,
+        JasminectlCmd::Status(args) => {
+            let wait = args.wait.map(Duration::from_secs);
+            client()?.status(wait).await?
+        }
+        JasminectlCmd::HashKey(_) => hash_input()?,
+    })
+}
+
+fn connect(path: Option<&Path>) -> Result<ControlClient> {
+    let path = path.unwrap_or(Path::new("jasminectl.ini"));
+    let text = std::fs::read_to_string(path).with_context(|| {
+        format!(
+            "cannot read the settings {}; name them with --settings",
+            path.display()
+        )
+    })?;
+    Ok(ControlSetting::from_ini(&path.display().to_string(), &text)?.client()?)
+}
+
+fn read(files: &[PathBuf]) -> Result<Vec<DeclaredText>> {
+    anyhow::ensure!(!files.is_empty(), "name at least one declaration file");
+    let read = |path: &PathBuf| {
+        let text = std::fs::read_to_string(path);
+        let text = text.with_context(|| format!("cannot read {}", path.display()))?;
+        Ok(DeclaredText::new(path.display().to_string(), text))
+    };
+    files.iter().map(read).collect()
+}
+
+/// Reads files; a call that removes records needs none.
+fn read_or_remove(files: &[PathBuf], option: &ApplyOption) -> Result<Vec<DeclaredText>> {
+    if files.is_empty() && !option.remove.is_empty() {
+        return Ok(Vec::new());
     }
-    Ok(())
+    read(files)
+}
+
+fn target(args: Drain) -> Result<DrainTarget> {
+    Ok(match (args.leaving, args.returning, args.stop) {
+        (Some(endpoint), None, None) => DrainTarget::Leaving(endpoint),
+        (None, Some(endpoint), None) => DrainTarget::Returning(endpoint),
+        (None, None, Some(name)) => DrainTarget::Stop {
+            name,
+            endpoint: args.endpoint,
+            failure_domain: args.failure_domain,
+            from: args.from.context("a stop needs --from")?,
+            until: args.until.context("a stop needs --until")?,
+            remaining_percent: args.remaining.unwrap_or(50),
+        },
+        _ => {
+            anyhow::bail!("name one of --leaving, --returning and --stop; see 'jasminectl --help'")
+        }
+    })
+}
+
+fn hash_input() -> Result<CommandReport> {
+    let mut key = String::new();
+    std::io::stdin().read_line(&mut key)?;
+    anyhow::ensure!(
+        !key.trim().is_empty(),
+        "the key is empty; write it to standard input"
+    );
+    let hash = hash_key(&key);
+    Ok(CommandReport {
+        exit: ExitKind::Done,
+        json: json!({"sha256": hash}),
+        text: hash,
+    })
 }
--- /dev/null
+++ b/crates/ctl/tests/control.rs
@@ -0,0 +1,358 @@
+//! Guards against changes that are half applied, applied twice, lost or explained wrongly.
+
+use std::time::SystemTime;
+
+use {
+    jasminewall_core::{
+        HolderId,
+        budget::{GrantAccount, GrantRow, grant_key, pool_key},
+        segment::{ChargeLine, OpenRequest, SegmentRecord, segment_key},
+        shard_of,
+    },
+    jasminewall_ctl::{
+        ApplyOption, CommandReport, ControlClient, ControlSetting, DeclaredText, DrainTarget,
+        Error, ExitKind, TopUpOrder,
+    },
+    jasminewall_platform::{FaultPlan, MemoryPlatform, ObjectPort, RowWrite, TablePort},
+};
+
+const SHARDS: u32 = 4;
+const BASE: &str = "schema = 2\n[[customer]]\nname = \"parish\"\nkey_sha256 = []\n\
+    [[budget]]\nname = \"parish-2026\"\ncustomer = \"parish\"\n\
+    [[top_up]]\nname = \"first\"\nbudget = \"parish-2026\"\namount = 1000\n\
+    [[endpoint]]\nname = \"engine-1\"\nruns = \"model_engine\"\naddress = \"10.0.0.1:80\"\nfailure_domain = \"domain-a\"\n\
+    [[endpoint]]\nname = \"engine-2\"\nruns = \"model_engine\"\naddress = \"10.0.0.2:80\"\nfailure_domain = \"domain-b\"\n\
+    [[route]]\nname = \"glass-7b\"\nendpoints = [\"engine-1\", \"engine-2\"]\n";
+
+fn client(platform: &MemoryPlatform) -> ControlClient {
+    ControlClient::new(platform.ports(), SHARDS)
+}
+
+fn files(text: &str) -> Vec<DeclaredText> {
+    vec![DeclaredText::new("fleet.toml", text)]
+}
+
+async fn apply(platform: &MemoryPlatform, text: &str) -> Result<CommandReport, Error> {
+    client(platform)
+        .apply(&files(text), &ApplyOption::default())
+        .await
+}
+
+/// Guards against a second application that writes rows or adds a top-up again.
+#[tokio::test]
+async fn applying_twice_changes_nothing() {
+    let platform = MemoryPlatform::new();
+    let first = apply(&platform, BASE).await.unwrap();
+    let writes = platform.counts().row_writes;
+    let second = apply(&platform, BASE).await.unwrap();
+    assert_eq!(platform.counts().row_writes, writes);
+    insta::assert_snapshot!(format!("{}\n---\n{}", first.text, second.text));
+    let printed = client(&platform).get(None, None).await.unwrap().text;
+    let third = apply(&platform, &printed).await.unwrap();
+    assert_eq!(
+        third.text, second.text,
+        "what 'get' prints is what is in force"
+    );
+}
+
+/// Guards against two operators who both believe that their change is in force.
+#[tokio::test(start_paused = true)]
+async fn second_operator_gets_a_conflict() {
+    let platform = MemoryPlatform::new();
+    apply(&platform, BASE).await.unwrap();
+    // The delay lets all operators read the same head before any of them writes.
+    platform.set_faults(FaultPlan {
+        delay_ms: 5,
+        ..FaultPlan::default()
+    });
+    let mut race = tokio::task::JoinSet::new();
+    for weight in 2..10 {
+        let text = format!(
+            "schema = 2\n[[customer]]\nname = \"parish\"\nkey_sha256 = []\nweight = {weight}\n\
+            [[top_up]]\nname = \"bonus-{weight}\"\nbudget = \"parish-2026\"\namount = 7\n"
+        );
+        let platform = platform.clone();
+        race.spawn(async move { apply(&platform, &text).await });
+    }
+    let results = race.join_all().await;
+    let lost: Vec<&Error> = results
+        .iter()
+        .filter_map(|result| result.as_ref().err())
+        .collect();
+    assert_eq!(lost.len(), 7);
+    assert!(lost.iter().all(|error| error.exit() == ExitKind::Conflict));
+    let ledger = client(&platform).ledger(None).await.unwrap();
+    assert_eq!(
+        ledger.json["budgets"]["parish-2026"]["prepaid"], 1007,
+        "only the winner's top-up counts"
+    );
+    insta::assert_snapshot!(lost[0].to_string());
+    let stale = ApplyOption {
+        base: Some(1),
+        ..ApplyOption::default()
+    };
+    let change = BASE.replace(
+        "80\"\nfailure_domain = \"domain-a",
+        "81\"\nfailure_domain = \"domain-a",
+    );
+    let error = client(&platform)
+        .apply(&files(&change), &stale)
+        .await
+        .unwrap_err();
+    assert_eq!(
+        error.exit(),
+        ExitKind::Conflict,
+        "a base that is outdated is a conflict"
+    );
+}
+
+/// Guards against a lost answer that is taken for a failure, or that makes a top-up count twice.
+#[tokio::test]
+async fn lost_answers_are_read_back() {
+    for lose_answers in 1..=2 {
+        let platform = MemoryPlatform::new();
+        platform.set_faults(FaultPlan {
+            lose_answers,
+            ..FaultPlan::default()
+        });
+        let report = apply(&platform, BASE).await.unwrap();
+        assert!(
+            report.text.contains("revision 1 is accepted"),
+            "{}",
+            report.text
+        );
+        let ledger = client(&platform).ledger(None).await.unwrap();
+        assert_eq!(ledger.json["budgets"]["parish-2026"]["prepaid"], 1000);
+    }
+}
+
+/// Guards against a report of success, or of a change, while the platform is down.
+#[tokio::test]
+async fn platform_out_of_reach_is_said() {
+    let platform = MemoryPlatform::new();
+    platform.set_faults(FaultPlan {
+        table_down: true,
+        ..FaultPlan::default()
+    });
+    let error = apply(&platform, BASE).await.unwrap_err();
+    assert_eq!(error.exit(), ExitKind::Unreachable);
+    assert_eq!(
+        error.to_string(),
+        "the platform cannot be reached; the call had no effect, try again"
+    );
+    platform.set_faults(FaultPlan::default());
+    platform.require_operator("secret");
+    let error = apply(&platform, BASE).await.unwrap_err();
+    assert_eq!(error.exit(), ExitKind::Refused);
+    assert_eq!(platform.counts().row_writes, 0);
+    apply(&platform.operator("secret"), BASE).await.unwrap();
+}
+
+/// Guards against a lowered budget that turns tokens that are granted into an overspend.
+#[tokio::test]
+async fn lowering_takes_free_tokens_only() {
+    let platform = MemoryPlatform::new();
+    apply(&platform, BASE).await.unwrap();
+    grant(&platform, 600, 100).await;
+    let order = TopUpOrder {
+        id: "back".into(),
+        budget: "parish-2026".into(),
+        amount: -700,
+    };
+    let mut lines = vec![client(&platform).top_up(&order).await.unwrap().text];
+    lines.push(client(&platform).top_up(&order).await.unwrap().text);
+    lines.push(
+        client(&platform)
+            .ledger(Some("parish-2026"))
+            .await
+            .unwrap()
+            .text,
+    );
+    let wrong = TopUpOrder {
+        id: "x".into(),
+        budget: "parish-2062".into(),
+        amount: 1,
+    };
+    lines.push(
+        client(&platform)
+            .top_up(&wrong)
+            .await
+            .unwrap_err()
+            .to_string(),
+    );
+    insta::assert_snapshot!(lines.join("\n---\n"));
+}
+
+/// Moves tokens from the pool to a holder in one transaction, as a router does.
+async fn grant(platform: &MemoryPlatform, granted: u64, charged: u64) -> HolderId {
+    let holder = HolderId::new("vm-1", 7);
+    let shard = shard_of("parish-2026", SHARDS);
+    let row = platform
+        .read(&pool_key(shard))
+        .await
+        .expect("the table answers")
+        .expect("the pool exists");
+    let mut pool: serde_json::Value = serde_json::from_str(&row.value).expect("a JSON row");
+    let free = &mut pool["budgets"]["parish-2026"]["free"];
+    *free = (free.as_u64().expect("a number") - granted).into();
+    let account = GrantAccount {
+        granted,
+        charged,
+        ..GrantAccount::default()
+    };
+    let accounts = [("parish-2026".into(), account)].into();
+    let grant = GrantRow {
+        holder: holder.clone(),
+        seq: 2,
+        accounts,
+    };
+    let writes = vec![
+        RowWrite::replace(row.key, row.version, pool.to_string()),
+        RowWrite::create(
+            grant_key(shard, &holder),
+            serde_json::to_string(&grant).expect("a JSON row"),
+        ),
+    ];
+    platform.transact(writes).await.expect("the table answers");
+    holder
+}
+
+/// Guards against a ledger that hides tokens that do not add up.
+#[tokio::test]
+async fn ledger_says_when_it_does_not_add_up() {
+    let platform = MemoryPlatform::new();
+    apply(&platform, BASE).await.unwrap();
+    grant(&platform, 600, 100).await;
+    let key = pool_key(shard_of("parish-2026", SHARDS));
+    let row = platform.read(&key).await.unwrap().unwrap();
+    let value = row.value.replace("\"free\":400", "\"free\":390");
+    assert_ne!(value, row.value);
+    platform
+        .transact(vec![RowWrite::replace(key, row.version, value)])
+        .await
+        .unwrap();
+    let report = client(&platform).ledger(None).await.unwrap();
+    assert_eq!(report.exit, ExitKind::Refused);
+    insta::assert_snapshot!(report.text);
+}
+
+/// Guards against an explanation that contradicts the charge lines or calls evidence a bill.
+#[tokio::test]
+async fn requests_are_explained() {
+    let platform = MemoryPlatform::new();
+    apply(&platform, BASE).await.unwrap();
+    let holder = grant(&platform, 600, 100).await;
+    let line = |request: &str, outcome: &str, tokens| ChargeLine {
+        request: request.into(),
+        customer: "parish".into(),
+        budget: "parish-2026".into(),
+        route: "glass-7b".into(),
+        endpoint: Some("engine-1".into()),
+        tokens,
+        outcome: outcome.into(),
+        ended_at: SystemTime::UNIX_EPOCH,
+    };
+    let open = OpenRequest {
+        request: "r-open".into(),
+        budget: "parish-2026".into(),
+        hold: 50,
+        endpoint: None,
+    };
+    let shard = shard_of("parish-2026", SHARDS);
+    for (seq, lines, open) in [
+        (
+            2,
+            vec![line("r-ran", "ran", 100), line("r-not", "not_run", 0)],
+            vec![open],
+        ),
+        (
+            3,
+            vec![line("r-late", "cancelled", 9), line("r-lost", "unknown", 0)],
+            vec![],
+        ),
+    ] {
+        let segment = SegmentRecord {
+            holder: holder.clone(),
+            shard,
+            seq,
+            lines,
+            open,
+        };
+        let bytes = serde_json::to_vec(&segment).unwrap();
+        platform
+            .put_new(&segment_key(&holder, shard, seq), bytes)
+            .await
+            .unwrap();
+    }
+    let claim = "{\"request\":\"r-claim\",\"state\":{\"state\":\"ran\",\"charged\":3}}";
+    platform
+        .transact(vec![RowWrite::create("claim/parish/ab", claim)])
+        .await
+        .unwrap();
+    let mut texts = Vec::new();
+    for request in [
+        "r-ran", "r-not", "r-open", "r-late", "r-lost", "r-claim", "r-none",
+    ] {
+        let report = client(&platform).explain(request).await.unwrap();
+        assert_eq!(report.exit == ExitKind::Done, request != "r-none");
+        texts.push(format!("{request}: {}", report.text));
+    }
+    insta::assert_snapshot!(texts.join("\n"));
+}
+
+/// Guards against a drain that leaves a route without capacity, and a removal that others refer to.
+#[tokio::test]
+async fn drain_and_removal_are_checked() {
+    let platform = MemoryPlatform::new();
+    apply(&platform, BASE).await.unwrap();
+    let client = client(&platform);
+    let mut lines = vec![
+        client
+            .drain(&DrainTarget::Leaving("engine-1".into()))
+            .await
+            .unwrap()
+            .text,
+    ];
+    let stop = DrainTarget::Stop {
+        name: "roof-works".into(),
+        endpoint: None,
+        failure_domain: Some("domain-b".into()),
+        from: 10,
+        until: 20,
+        remaining_percent: 50,
+    };
+    lines.push(client.drain(&stop).await.unwrap_err().to_string());
+    lines.push(
+        client
+            .drain(&DrainTarget::Returning("engine-1".into()))
+            .await
+            .unwrap()
+            .text,
+    );
+    lines.push(client.drain(&stop).await.unwrap().text);
+    let remove = ApplyOption {
+        remove: vec!["endpoint/engine-1".into()],
+        base: None,
+    };
+    lines.push(client.apply(&[], &remove).await.unwrap_err().to_string());
+    let remove = ApplyOption {
+        remove: vec!["stop/roof-works".into()],
+        base: None,
+    };
+    lines.push(client.diff(&[], &remove).await.unwrap().text);
+    lines.push(client.apply(&[], &remove).await.unwrap().text);
+    insta::assert_snapshot!(lines.join("\n---\n"));
+}
+
+/// Guards against settings that are accepted with a misspelt key, and reports of one mistake at a time.
+#[test]
+fn settings_are_checked_as_a_whole() {
+    let good = "[platform]\naddress = 127.0.0.1:7000\n[operator]\nname = amaya\ncredential = s\n[fleet]\nshards = 4\n";
+    let setting = ControlSetting::from_ini("a.ini", good).unwrap();
+    assert_eq!(setting.credential.as_deref(), Some("s"));
+    let bad =
+        "[platform]\nadress = localhost\n[operator]\ncredentials = s\n[fleet]\nshards = none\n";
+    let error = ControlSetting::from_ini("a.ini", bad).unwrap_err();
+    assert_eq!(error.exit(), ExitKind::Usage);
+    insta::assert_snapshot!(error.to_string());
+}
