--- a/crates/ctl/tests/control.rs
+++ b/crates/ctl/tests/control.rs
@@ -202,9 +202,9 @@
     };
     let accounts = [("parish-2026".into(), account)].into();
     let grant = GrantRow {
-        holder: holder.clone(),
         seq: 2,
         accounts,
+        ..GrantRow::new(holder.clone())
     };
     let writes = vec![
         RowWrite::replace(row.key, row.version, pool.to_string()),
