Spend grants, peers' tokens and the pool in the router

Cause: the router refilled its grant one request at a time, knew no transfers and no returns, and called a budget out of reach in every case of doubt. Change: hold looks at the own grant, at peers, then at the platform; one commit a dirty shard and flush, with the segment stored first; concurrent refills are one write; a bound on waiting charge lines; the stop returns all grants and folds the rows; reclaim settles a dead router. budget_spent is said only when the pool and all rows, read without a change in between, prove it.

--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -278,6 +278,20 @@
         tokens
     }
 
+    /// Tokens of a budget that peers may still get before the next commit.
+    pub fn givable(&self, budget: &BudgetId) -> Tokens {
+        if self.closed {
+            return 0;
+        }
+        self.accounts.get(budget).map_or(0, |account| {
+            let allowed = account
+                .row
+                .transferable
+                .saturating_sub(account.row.given_total());
+            account.spendable().min(allowed)
+        })
+    }
+
     /// Next request to a giver: the unanswered one if there is one, otherwise a new one.
     ///
     /// `None` when no tokens are taken from this giver any more.
--- a/crates/core/tests/spend_settle.rs
+++ b/crates/core/tests/spend_settle.rs
@@ -130,6 +130,14 @@
         ..GrantAccount::default()
     };
     dead_giver.accounts.insert("glass".into(), account);
+    let mut dead_giver = GrantRow::new(HolderId::new("vm-3", 3));
+    (dead_giver.closed, dead_giver.exact) = (true, true);
+    let account = GrantAccount {
+        granted: 50,
+        transferable: 50,
+        ..GrantAccount::default()
+    };
+    dead_giver.accounts.insert("glass".into(), account);
     let text = [
         describe("no evidence", &[], &evidence(&[])),
         describe("all endpoints list, nothing open", &[], &evidence(both)),
@@ -157,6 +165,11 @@
             &[peer_row(0, 30, true)],
             &too_much,
         ),
+        describe(
+            "the exceeding use was paid by a dead giver",
+            &[dead_giver],
+            &too_much,
+        ),
     ];
     insta::assert_snapshot!(text.concat());
 }
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -38,7 +38,6 @@
     }
 
     /// Routers that answered their last probe.
-    #[expect(dead_code, reason = "read once transfers between routers are in place")]
     pub(crate) fn peers(&self) -> Vec<PeerView> {
         self.peers
             .read()
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -24,5 +24,6 @@
 pub use crate::{
     embed::EmbedFleet,
     setting::RouterSetting,
+    spend::ReclaimReport,
     state::{RouterHandle, RouterState},
 };
--- a/crates/router/src/peer.rs
+++ b/crates/router/src/peer.rs
@@ -29,7 +29,6 @@
 
 /// Another router, as last probed.
 #[derive(Clone, Debug)]
-#[expect(dead_code, reason = "read once transfers between routers are in place")]
 pub(crate) struct PeerView {
     /// Router run that answered the last probe.
     pub(crate) holder: HolderId,
--- a/crates/router/src/spend.rs
+++ b/crates/router/src/spend.rs
@@ -1,56 +1,156 @@
 //! Spends the router's grants and commits its charges to the table service.
 
 use std::{
-    collections::{BTreeMap, HashMap},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    collections::{BTreeMap, HashMap, HashSet},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant, SystemTime},
 };
 
 use {
     jasminewall_core::{
         BudgetId, CustomerId, EndpointId, GrantLedger, HolderId, Refusal, RefusalCode, RequestId,
         RouteId, ShardId, Tokens,
-        budget::{GrantRow, PoolRow, grant_key, pool_key},
+        commit::ShardCommit,
         ledger::RequestCharge,
+        segment::{ChargeLine, OpenRequest},
         shard_of,
+        sizing::SpendForecast,
     },
-    jasminewall_platform::{RowWrite, TransactOutcome},
     jasminewall_wire::{CloseReply, TransferReply, TransferRequest},
 };
 
 use crate::state::RouterState;
 
+mod commits;
+mod reclaim;
+mod refill;
+mod transfer;
+
+pub use self::reclaim::ReclaimReport;
+use self::refill::RefillOutcome;
+
 /// Time between two commits of charges.
 const FLUSH_INTERVAL: Duration = Duration::from_secs(1);
-/// Smallest number of tokens taken from the pool at once.
-const GRANT_MIN: Tokens = 1_000;
+/// Time of spending that a grant covers, so that a partition of that length refuses nothing.
+const GRANT_COVER: Duration = Duration::from_secs(3_600);
 /// Time after which a caller may try again when tokens are out of reach.
 const RETRY_WAIT: Duration = Duration::from_secs(2);
-/// Times that a grant move is tried again after a conflict.
-const MOVE_ATTEMPTS: u32 = 8;
+/// Times that a hold looks for tokens; each refill or transfer may be used up by another request.
+const HOLD_ATTEMPTS: u32 = 8;
+/// Charge lines kept in memory, about 10 MB of the 32 MB that design.md allows a router.
+const BACKLOG_LIMIT: usize = 40_000;
+/// Times that a stopping router tries to commit, at intervals of `CLOSE_WAIT`.
+const CLOSE_ATTEMPTS: u32 = 10;
+/// Time between two tries of a stopping router.
+const CLOSE_WAIT: Duration = Duration::from_millis(200);
 
 /// Grants, holds and charges of the router.
 pub(crate) struct SpendTable {
-    ledger: Mutex<GrantLedger>,
-    rows: tokio::sync::Mutex<HashMap<ShardId, ShardRow>>,
+    ledger: Mutex<SpendLedger>,
+    shards: Mutex<HashMap<ShardId, Arc<tokio::sync::Mutex<ShardSlot>>>>,
+    givers: Mutex<HashMap<HolderId, Arc<tokio::sync::Mutex<()>>>>,
+    backlog_limit: AtomicUsize,
+}
+
+/// Ledger with what charge lines and forecasts need besides.
+struct SpendLedger {
+    ledger: GrantLedger,
+    notes: HashMap<RequestId, HoldNote>,
+    lines: HashMap<ShardId, Vec<ChargeLine>>,
+    forecasts: HashMap<BudgetId, BudgetForecast>,
+    waiting: HashMap<BudgetId, Tokens>,
+    /// Shards in which this router has a row, without which it must not receive tokens.
+    with_row: HashSet<ShardId>,
+    backlog: usize,
 }
 
-struct ShardRow {
-    version: u64,
-    row: GrantRow,
+struct HoldNote {
+    hold: HoldRequest,
+    endpoint: Option<EndpointId>,
+}
+
+#[derive(Clone, Copy)]
+struct BudgetForecast {
+    spend: SpendForecast,
+    next_refill: Instant,
+    next_return: Instant,
+}
+
+impl BudgetForecast {
+    fn new(now: Instant) -> Self {
+        Self {
+            spend: SpendForecast::new(now),
+            next_refill: now,
+            next_return: now + commits::RETURN_INTERVAL,
+        }
+    }
+}
+
+/// Commits of one shard; the lock around it keeps them in order.
+struct ShardSlot {
+    commit: ShardCommit,
+    /// Whether the segment of the next charges is in the object store.
+    segment_stored: bool,
+    /// Whether an earlier attempt at the plan may still take effect.
+    is_uncertain: bool,
 }
 
 impl SpendTable {
     pub(crate) fn new(holder: HolderId) -> Self {
         Self {
-            ledger: Mutex::new(GrantLedger::new(holder)),
-            rows: tokio::sync::Mutex::default(),
+            ledger: Mutex::new(SpendLedger {
+                ledger: GrantLedger::new(holder),
+                notes: HashMap::new(),
+                lines: HashMap::new(),
+                forecasts: HashMap::new(),
+                waiting: HashMap::new(),
+                with_row: HashSet::new(),
+                backlog: 0,
+            }),
+            shards: Mutex::default(),
+            givers: Mutex::default(),
+            backlog_limit: AtomicUsize::new(BACKLOG_LIMIT),
         }
     }
 
-    fn ledger(&self) -> MutexGuard<'_, GrantLedger> {
+    fn ledger(&self) -> MutexGuard<'_, SpendLedger> {
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    fn slot(&self, shard: ShardId) -> Arc<tokio::sync::Mutex<ShardSlot>> {
+        let holder = self.ledger().ledger.holder().clone();
+        let mut shards = self.shards.lock().unwrap_or_else(PoisonError::into_inner);
+        let slot = shards.entry(shard).or_insert_with(|| {
+            Arc::new(tokio::sync::Mutex::new(ShardSlot {
+                commit: ShardCommit::new(shard, holder),
+                segment_stored: false,
+                is_uncertain: false,
+            }))
+        });
+        slot.clone()
+    }
+
+    /// Shards in which this router has an account.
+    fn shard_ids(&self) -> Vec<ShardId> {
+        let shards = self.shards.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut ids: Vec<ShardId> = shards.keys().copied().collect();
+        ids.sort_unstable();
+        ids
+    }
+}
+
+impl RouterState {
+    /// Replaces the number of charge lines that may wait for the platform.
+    pub fn set_backlog_limit(&self, lines: usize) {
+        self.spend.backlog_limit.store(lines, Ordering::Relaxed);
+    }
+
+    fn shard_of(&self, budget: &BudgetId) -> ShardId {
+        shard_of(budget, self.setting.shards)
+    }
 }
 
 /// Tokens to hold for one request, and what its charge line says of it.
@@ -82,34 +182,78 @@
     Unknown,
 }
 
-/// Holds the worst case of a request, with a refill of the grant when it does not cover it.
+impl RequestEnd {
+    /// Word for the charge line.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Ran => "ran",
+            Self::Cancelled => "cancelled",
+            Self::NotRun => "failed",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Holds the worst case of a request: from the own grant, then from peers, then from the platform.
 pub(crate) async fn hold(state: &RouterState, hold: &HoldRequest) -> Result<(), Refusal> {
-    let HoldRequest {
-        request,
-        budget,
-        amount,
-        ..
-    } = hold;
-    tracing::debug!(%request, customer = %hold.customer, route = %hold.route, "hold wanted");
-    for _ in 0..MOVE_ATTEMPTS {
-        if state.spend.ledger().hold(budget, request, *amount).is_ok() {
+    let HoldRequest { budget, amount, .. } = hold;
+    let limit = state.spend.backlog_limit.load(Ordering::Relaxed);
+    {
+        let ledger = state.spend.ledger();
+        if ledger.ledger.is_closed() {
+            return Err(Refusal::new(RefusalCode::TokensOutOfReach)
+                .note("The account of this router was closed; another router can spend the budget.")
+                .retry_after(RETRY_WAIT));
+        }
+        // An open request will need a line as well.
+        if ledger.backlog + ledger.notes.len() >= limit {
+            return Err(Refusal::new(RefusalCode::ChargeBacklogFull).retry_after(RETRY_WAIT));
+        }
+    }
+    if try_hold(state, hold) {
+        return Ok(());
+    }
+    transfer::ask_spare(state, budget, *amount).await;
+    for _ in 0..HOLD_ATTEMPTS {
+        if try_hold(state, hold) {
             return Ok(());
         }
-        match refill(state, budget, *amount).await {
-            Ok(RefillOutcome::Granted | RefillOutcome::Conflict) => {}
-            Ok(RefillOutcome::Spent) => return Err(RefusalCode::TokensOutOfReach.into()),
-            Err(error) => {
-                tracing::warn!(%error, %budget, "grant refill failed");
-                return Err(Refusal::new(RefusalCode::TokensOutOfReach).retry_after(RETRY_WAIT));
-            }
+        let outcome = refill::refill(state, budget, *amount).await;
+        let free = match outcome {
+            RefillOutcome::Granted | RefillOutcome::Conflict => continue,
+            RefillOutcome::Short { free } => free,
+            RefillOutcome::Unreachable => 0,
+        };
+        if try_hold(state, hold) {
+            return Ok(());
         }
+        if transfer::ask_rest(state, budget, amount.saturating_sub(free)).await == 0 {
+            return Err(refill::explain(state, budget, *amount).await);
+        }
+    }
+    let refusal = Refusal::new(RefusalCode::TokensOutOfReach);
+    Err(refusal.retry_after(RETRY_WAIT))
+}
+
+fn try_hold(state: &RouterState, hold: &HoldRequest) -> bool {
+    let mut ledger = state.spend.ledger();
+    let held = ledger.ledger.hold(&hold.budget, &hold.request, hold.amount);
+    if held.is_err() {
+        return false;
     }
-    Err(Refusal::new(RefusalCode::TokensOutOfReach).retry_after(RETRY_WAIT))
+    let note = HoldNote {
+        hold: hold.clone(),
+        endpoint: None,
+    };
+    ledger.notes.insert(hold.request.clone(), note);
+    true
 }
 
 /// Notes the endpoint that a request is sent to, as evidence for its settlement.
-pub(crate) fn note_endpoint(_state: &RouterState, request: &RequestId, endpoint: &EndpointId) {
-    tracing::debug!(%request, %endpoint, "request is sent");
+pub(crate) fn note_endpoint(state: &RouterState, request: &RequestId, endpoint: &EndpointId) {
+    if let Some(note) = state.spend.ledger().notes.get_mut(request) {
+        note.endpoint = Some(endpoint.clone());
+    }
 }
 
 /// Replaces the hold of a request by its charge.
@@ -119,114 +263,71 @@
     tokens: Tokens,
     end: RequestEnd,
 ) -> Option<RequestCharge> {
-    let charge = state.spend.ledger().settle(request, tokens).ok()?;
+    let now = Instant::now();
+    let mut ledger = state.spend.ledger();
+    let charge = ledger.ledger.settle(request, tokens).ok()?;
+    let note = ledger.notes.remove(request)?;
+    let forecast = ledger
+        .forecasts
+        .entry(charge.budget.clone())
+        .or_insert_with(|| BudgetForecast::new(now));
+    forecast.spend.add(now, charge.tokens);
+    let line = ChargeLine {
+        request: request.clone(),
+        customer: note.hold.customer,
+        budget: charge.budget.clone(),
+        route: note.hold.route,
+        endpoint: note.endpoint,
+        tokens: charge.tokens,
+        outcome: end.as_str().into(),
+        ended_at: SystemTime::now(),
+    };
+    let shard = state.shard_of(&charge.budget);
+    ledger.lines.entry(shard).or_default().push(line);
+    ledger.backlog += 1;
+    drop(ledger);
     tracing::info!(%request, tokens = charge.tokens, ?end, "request charged");
     Some(charge)
 }
 
-/// Tokens of a budget that this router may still spend.
-pub(crate) fn spendable(state: &RouterState, budget: &BudgetId) -> Tokens {
-    state.spend.ledger().spendable(budget)
-}
-
-/// Gives tokens to a peer; repeats of a transfer get the first result.
-pub(crate) fn give(state: &RouterState, request: &TransferRequest) -> TransferReply {
-    TransferReply {
-        tokens: 0,
-        left: spendable(state, &request.budget),
+impl SpendLedger {
+    /// Requests of a shard that hold tokens now.
+    fn open_requests(&self, owns: impl Fn(&BudgetId) -> bool) -> Vec<OpenRequest> {
+        let notes = self
+            .notes
+            .iter()
+            .filter(|(_, note)| owns(&note.hold.budget));
+        notes
+            .map(|(request, note)| OpenRequest {
+                request: request.clone(),
+                budget: note.hold.budget.clone(),
+                hold: note.hold.amount,
+                endpoint: note.endpoint.clone(),
+            })
+            .collect()
     }
-}
 
-/// Accepts no more tokens from a holder that is gone and says what was received from it.
-pub(crate) fn close_giver(_state: &RouterState, _giver: &HolderId) -> CloseReply {
-    CloseReply {
-        received: BTreeMap::new(),
+    /// Forecast spend of a budget in a time.
+    fn forecast(&self, budget: &BudgetId, cover: Duration) -> Tokens {
+        let forecast = self.forecasts.get(budget);
+        forecast.map_or(0, |forecast| forecast.spend.expect(Instant::now(), cover))
     }
 }
 
-enum RefillOutcome {
-    Granted,
-    Conflict,
-    Spent,
-}
-
-async fn refill(
-    state: &RouterState,
-    budget: &BudgetId,
-    amount: Tokens,
-) -> anyhow::Result<RefillOutcome> {
-    let shard = shard_of(budget, state.setting.shards);
-    let mut rows = state.spend.rows.lock().await;
-    let Some(pool_row) = state.ports.table.read(&pool_key(shard)).await? else {
-        return Ok(RefillOutcome::Spent);
-    };
-    let mut pool: PoolRow = serde_json::from_str(&pool_row.value)?;
-    let Some(entry) = pool.budgets.get_mut(budget) else {
-        return Ok(RefillOutcome::Spent);
-    };
-    if entry.free < amount {
-        return Ok(RefillOutcome::Spent);
-    }
-    let taken = amount.max(GRANT_MIN).min(entry.free);
-    entry.free -= taken;
-    let shard_row = rows
-        .entry(shard)
-        .or_insert_with(|| ShardRow::new(&state.holder));
-    let mut next = shard_row.row.clone();
-    next.seq += 1;
-    next.accounts.entry(budget.clone()).or_default().granted += taken;
-    let key = grant_key(shard, &state.holder);
-    let writes = vec![
-        RowWrite::replace(
-            pool_key(shard),
-            pool_row.version,
-            serde_json::to_string(&pool)?,
-        ),
-        RowWrite::replace(
-            key.clone(),
-            shard_row.version,
-            serde_json::to_string(&next)?,
-        ),
-    ];
-    if !commit(state, &key, shard_row, next, writes).await? {
-        return Ok(RefillOutcome::Conflict);
-    }
-    state.spend.ledger().credit(budget, taken);
-    tracing::info!(%budget, shard, taken, "grant refilled");
-    Ok(RefillOutcome::Granted)
+/// Tokens of a budget that this router may still spend.
+pub(crate) fn spendable(state: &RouterState, budget: &BudgetId) -> Tokens {
+    state.spend.ledger().ledger.spendable(budget)
 }
 
-/// Applies a numbered commit; reads back the row when the answer is lost.
-async fn commit(
-    state: &RouterState,
-    key: &str,
-    shard_row: &mut ShardRow,
-    next: GrantRow,
-    writes: Vec<RowWrite>,
-) -> anyhow::Result<bool> {
-    let outcome = state.ports.table.transact(writes).await;
-    if matches!(outcome, Ok(TransactOutcome::Conflict)) {
-        return Ok(false);
-    }
-    let row = state.ports.table.read(key).await?;
-    let stored: Option<GrantRow> = row
-        .as_ref()
-        .map(|row| serde_json::from_str(&row.value))
-        .transpose()?;
-    if stored.as_ref() != Some(&next) {
-        outcome?;
-        return Ok(false);
-    }
-    shard_row.version = row.map_or(0, |row| row.version);
-    shard_row.row = next;
-    Ok(true)
+/// Gives tokens to a peer; repeats of a transfer get the first result.
+pub(crate) fn give(state: &RouterState, request: &TransferRequest) -> TransferReply {
+    transfer::give(state, request)
 }
 
-impl ShardRow {
-    fn new(holder: &HolderId) -> Self {
-        let row = GrantRow::new(holder.clone());
-        Self { version: 0, row }
-    }
+/// Accepts no more tokens from a holder that is gone and says what was received from it.
+pub(crate) fn close_giver(state: &RouterState, giver: &HolderId) -> CloseReply {
+    let received: BTreeMap<BudgetId, Tokens> = state.spend.ledger().ledger.close_peer(giver);
+    CloseReply { received }
 }
 
 /// Commits charges until the router stops.
@@ -236,43 +337,23 @@
             () = tokio::time::sleep(FLUSH_INTERVAL) => {}
             () = state.stop.cancelled() => return,
         }
-        flush(&state).await;
+        commits::flush(&state).await;
     }
 }
 
-async fn flush(state: &RouterState) {
-    let mut rows = state.spend.rows.lock().await;
-    for (shard, shard_row) in rows.iter_mut() {
-        if let Err(error) = flush_shard(state, *shard, shard_row).await {
-            tracing::warn!(%error, shard, "charges are not committed; they are kept and tried again");
+/// Commits the last charges, returns all grants and folds the rows when the router stops.
+pub(crate) async fn close(state: &RouterState) {
+    for _ in 0..CLOSE_ATTEMPTS {
+        commits::flush(state).await;
+        if commits::return_all(state).await {
+            tracing::info!("all charges are committed and all grants returned");
+            return;
         }
+        tokio::time::sleep(CLOSE_WAIT).await;
     }
-}
-
-async fn flush_shard(
-    state: &RouterState,
-    shard: ShardId,
-    shard_row: &mut ShardRow,
-) -> anyhow::Result<()> {
-    let mut next = shard_row.row.clone();
-    for (budget, account) in &mut next.accounts {
-        account.charged = state.spend.ledger().charged(budget);
-    }
-    if next == shard_row.row {
-        return Ok(());
-    }
-    next.seq += 1;
-    let key = grant_key(shard, &state.holder);
-    let writes = vec![RowWrite::replace(
-        key.clone(),
-        shard_row.version,
-        serde_json::to_string(&next)?,
-    )];
-    commit(state, &key, shard_row, next, writes).await?;
-    Ok(())
-}
-
-/// Commits the last charges when the router stops.
-pub(crate) async fn close(state: &RouterState) {
-    flush(state).await;
+    let backlog = state.spend.ledger().backlog;
+    tracing::warn!(
+        backlog,
+        "the router stops with an open account; it stays unresolved until it is settled"
+    );
 }
--- /dev/null
+++ b/crates/router/src/spend/reclaim.rs
@@ -0,0 +1,279 @@
+//! Settlement of the accounts of routers that are proven to be dead.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use {
+    axum::body::Body,
+    http_body_util::BodyExt,
+    hyper::Request,
+    hyper_util::{client::legacy::Client, rt::TokioExecutor},
+    jasminewall_core::{
+        BudgetId, ConfigRecord, EndpointId, HolderId, RequestId, ShardId, Tokens,
+        budget::{GrantRow, grant_key, pool_key},
+        record::EndpointRecord,
+        segment::{SegmentRecord, segment_prefix},
+        settle::{ChargeEvidence, DeathEvidence, DeathProof, evidence_prefix, settle_row},
+    },
+    jasminewall_platform::{RowWrite, TransactOutcome},
+    serde::Deserialize,
+};
+
+use super::{commits, transfer};
+use crate::state::RouterState;
+
+/// Longest time to wait for an endpoint's list of streams.
+const LIST_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest list of streams that is read, in bytes.
+const LIST_LIMIT: usize = 4 << 20;
+
+/// State of a dead router's account after an attempt to settle it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReclaimReport {
+    /// Tokens newly charged from evidence.
+    pub charged: Tokens,
+    /// Tokens returned to the pools.
+    pub returned: Tokens,
+    /// Tokens whose use is not proven yet.
+    pub unresolved: Tokens,
+    /// Rows that are not folded yet; call again while there are any.
+    pub open_rows: u32,
+}
+
+/// Stream of an endpoint's list.
+#[derive(Deserialize)]
+struct ListedStream {
+    request: RequestId,
+    budget: BudgetId,
+    tokens: Tokens,
+    running: bool,
+}
+
+impl RouterState {
+    /// Settles the account of a router run that is proven to be dead, as far as evidence allows.
+    ///
+    /// Call it again while rows are open: peers and endpoints that do not answer now may later.
+    ///
+    /// # Errors
+    ///
+    /// When the platform cannot be reached; what was done so far stays done.
+    pub async fn reclaim(
+        &self,
+        dead: &HolderId,
+        proof: DeathProof,
+    ) -> anyhow::Result<ReclaimReport> {
+        reclaim(self, dead, proof).await
+    }
+}
+
+/// Closes, settles and folds the rows of a dead holder in all shards.
+pub(crate) async fn reclaim(
+    state: &RouterState,
+    dead: &HolderId,
+    proof: DeathProof,
+) -> anyhow::Result<ReclaimReport> {
+    let mut report = ReclaimReport::default();
+    if *dead == state.holder {
+        anyhow::bail!("this router run is alive; it returns its tokens when it stops");
+    }
+    for shard in 0..state.setting.shards {
+        let key = grant_key(shard, dead);
+        if state.ports.table.read(&key).await?.is_none() {
+            continue;
+        }
+        report.open_rows += 1;
+        if reclaim_shard(state, shard, dead, proof, &mut report).await? {
+            report.open_rows -= 1;
+        }
+    }
+    tracing::info!(%dead, ?proof, ?report, "account of a dead router settled as far as proven");
+    Ok(report)
+}
+
+/// One attempt at the row of one shard; `true` once it is folded.
+async fn reclaim_shard(
+    state: &RouterState,
+    shard: ShardId,
+    dead: &HolderId,
+    proof: DeathProof,
+    report: &mut ReclaimReport,
+) -> anyhow::Result<bool> {
+    close_row(state, shard, dead, proof).await?;
+    close_peers(state, dead).await;
+    let evidence = gather(state, shard, dead).await?;
+    settle_shard(state, shard, dead, &evidence, report).await?;
+    commits::fold_row(state, shard, dead).await
+}
+
+/// Closes the row first, so that commits of a holder that is wrongly declared dead fail.
+async fn close_row(
+    state: &RouterState,
+    shard: ShardId,
+    dead: &HolderId,
+    proof: DeathProof,
+) -> anyhow::Result<()> {
+    let rows = commits::read_grants(state, shard).await?;
+    let Some((version, row)) = rows.into_iter().find(|(_, row)| row.holder == *dead) else {
+        return Ok(());
+    };
+    if row.closed {
+        return Ok(());
+    }
+    if proof == DeathProof::Returned {
+        anyhow::bail!("'{dead}' has not closed its row; wait for another proof of its death");
+    }
+    let row = GrantRow {
+        closed: true,
+        ..row
+    };
+    let key = grant_key(shard, dead);
+    let write = RowWrite::replace(key, version, serde_json::to_string(&row)?);
+    match state.ports.table.transact(vec![write]).await? {
+        TransactOutcome::Committed => Ok(()),
+        TransactOutcome::Conflict => anyhow::bail!("the row of '{dead}' changed; try again"),
+    }
+}
+
+/// Ends transfers with the dead holder here and at all peers in reach.
+///
+/// Each writes that into its own rows with its next commit, where the settlement reads it.
+async fn close_peers(state: &RouterState, dead: &HolderId) {
+    state.spend.ledger().ledger.close_peer(dead);
+    for peer in state.fleet.peers() {
+        if let Err(error) = transfer::close_at(&peer, dead).await {
+            tracing::warn!(%error, peer = %peer.holder, "peer does not close the dead router's transfers yet");
+        }
+    }
+    commits::flush(state).await;
+}
+
+async fn settle_shard(
+    state: &RouterState,
+    shard: ShardId,
+    dead: &HolderId,
+    evidence: &DeathEvidence,
+    report: &mut ReclaimReport,
+) -> anyhow::Result<()> {
+    let Some((mut pool, pool_version)) = commits::read_pool(state, shard).await? else {
+        anyhow::bail!("the pool row of shard {shard} is missing");
+    };
+    let before = pool.clone();
+    let rows = commits::read_grants(state, shard).await?;
+    let (own, others): (Vec<_>, Vec<_>) =
+        rows.into_iter().partition(|(_, row)| row.holder == *dead);
+    let Some((version, stored)) = own.into_iter().next() else {
+        return Ok(());
+    };
+    let others: Vec<GrantRow> = others.into_iter().map(|(_, row)| row).collect();
+    let mut row = stored.clone();
+    let outcome = settle_row(&mut pool, &mut row, &others, evidence);
+    report.unresolved += outcome.unresolved.values().sum::<Tokens>();
+    if pool == before && row == stored {
+        return Ok(());
+    }
+    let writes = vec![
+        RowWrite::replace(pool_key(shard), pool_version, serde_json::to_string(&pool)?),
+        RowWrite::replace(
+            grant_key(shard, dead),
+            version,
+            serde_json::to_string(&row)?,
+        ),
+    ];
+    if state.ports.table.transact(writes).await? == TransactOutcome::Committed {
+        report.charged += outcome.charged.values().sum::<Tokens>();
+        report.returned += outcome.returned.values().sum::<Tokens>();
+    }
+    Ok(())
+}
+
+async fn gather(
+    state: &RouterState,
+    shard: ShardId,
+    dead: &HolderId,
+) -> anyhow::Result<DeathEvidence> {
+    let mut evidence = DeathEvidence::default();
+    let object = &state.ports.object;
+    let prefix = format!("{}{shard}/", segment_prefix(dead));
+    for key in object.list(&prefix).await? {
+        if let Some(value) = object.get(&key).await? {
+            let segment: SegmentRecord = serde_json::from_slice(&value)?;
+            evidence.segments.push(segment);
+        }
+    }
+    for key in object.list(&evidence_prefix(dead)).await? {
+        if let Some(value) = object.get(&key).await? {
+            let charge: ChargeEvidence = serde_json::from_slice(&value)?;
+            evidence.resumed.push(charge);
+        }
+    }
+    let owns = |charge: &ChargeEvidence| state.shard_of(&charge.budget) == shard;
+    evidence.resumed.retain(owns);
+    let records: Vec<EndpointRecord> = state
+        .fleet
+        .config()
+        .records()
+        .filter_map(|record| match record {
+            ConfigRecord::Endpoint(endpoint) => Some(endpoint.clone()),
+            _ => None,
+        })
+        .collect();
+    evidence.endpoints = records.iter().map(|record| record.name.clone()).collect();
+    evidence
+        .endpoints
+        .extend(noted_endpoints(&evidence.segments));
+    for record in records.iter().filter(|record| record.lists_streams) {
+        match list_streams(record, dead).await {
+            Ok(Some(mut charges)) => {
+                charges.retain(owns);
+                evidence.listed.insert(record.name.clone(), charges);
+            }
+            Ok(None) => {
+                tracing::info!(endpoint = %record.name, %dead, "streams of the dead router still run");
+            }
+            Err(error) => {
+                tracing::warn!(endpoint = %record.name, %error, "endpoint does not list its streams");
+            }
+        }
+    }
+    Ok(evidence)
+}
+
+/// Endpoints that the segments name, which may have left the configuration.
+fn noted_endpoints(segments: &[SegmentRecord]) -> BTreeSet<EndpointId> {
+    let lines = segments.iter().flat_map(|segment| &segment.lines);
+    let open = segments.iter().flat_map(|segment| &segment.open);
+    lines
+        .filter_map(|line| line.endpoint.clone())
+        .chain(open.filter_map(|request| request.endpoint.clone()))
+        .collect()
+}
+
+/// Ended streams of a holder; `None` while one still runs.
+async fn list_streams(
+    record: &EndpointRecord,
+    dead: &HolderId,
+) -> anyhow::Result<Option<Vec<ChargeEvidence>>> {
+    let client: Client<_, Body> = Client::builder(TokioExecutor::new()).build_http();
+    let uri = format!("http://{}/v1/streams?holder={dead}", record.address);
+    let request = Request::get(uri).body(Body::empty())?;
+    let call = async {
+        let response = client.request(request).await?;
+        if !response.status().is_success() {
+            anyhow::bail!("the endpoint answers {}", response.status());
+        }
+        let body = http_body_util::Limited::new(response.into_body(), LIST_LIMIT);
+        let body = body.collect().await;
+        let body = body.map_err(|error| anyhow::anyhow!("the list cannot be read: {error}"))?;
+        Ok(body.to_bytes())
+    };
+    let body = tokio::time::timeout(LIST_TIMEOUT, call).await??;
+    let streams: Vec<ListedStream> = serde_json::from_slice(&body)?;
+    if streams.iter().any(|stream| stream.running) {
+        return Ok(None);
+    }
+    let charges = streams.into_iter().map(|stream| ChargeEvidence {
+        request: stream.request,
+        budget: stream.budget,
+        tokens: stream.tokens,
+    });
+    Ok(Some(charges.collect()))
+}
--- /dev/null
+++ b/crates/router/src/spend/transfer.rs
@@ -0,0 +1,183 @@
+//! Transfers of tokens between routers, which need no platform.
+
+use std::{
+    sync::{Arc, PoisonError},
+    time::Duration,
+};
+
+use {
+    jasminewall_core::{BudgetId, HolderId, Tokens, ledger::TransferAsk},
+    jasminewall_wire::{TransferReply, TransferRequest},
+};
+
+use super::GRANT_COVER;
+use crate::{
+    peer::{self, PeerView},
+    state::RouterState,
+};
+
+/// Longest time for one transfer, connection included.
+const TRANSFER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Peers asked for spare tokens before the platform is asked, which costs one table write.
+const SPARE_PEERS: usize = 2;
+/// Part of a grant's time that is asked for at once, as a divisor; peers keep enough to go on.
+const SPARE_PART: u64 = 16;
+
+/// Asks a few peers, those of the failure domain first, for tokens that they do not need.
+pub(super) async fn ask_spare(state: &RouterState, budget: &BudgetId, amount: Tokens) {
+    let least = missing(state, budget, amount);
+    let ahead = state.spend.ledger().forecast(budget, GRANT_COVER) / SPARE_PART;
+    // More than the least tells the giver that it may keep what it needs itself.
+    let wanted = ahead.max(least + 1);
+    for peer in sorted_peers(state).into_iter().take(SPARE_PEERS) {
+        if let Some(reply) = ask(state, &peer, budget, least, wanted).await
+            && reply.tokens >= least
+        {
+            return;
+        }
+    }
+}
+
+/// Asks all peers for what a request still lacks; says how many tokens came.
+pub(super) async fn ask_rest(state: &RouterState, budget: &BudgetId, amount: Tokens) -> Tokens {
+    let mut received = 0;
+    for peer in sorted_peers(state) {
+        let lacks = missing(state, budget, amount);
+        if lacks == 0 {
+            break;
+        }
+        let Some(reply) = ask(state, &peer, budget, lacks, lacks).await else {
+            continue;
+        };
+        received += reply.tokens;
+        let part = reply.left.min(lacks);
+        if reply.tokens == 0
+            && part > 0
+            && let Some(reply) = ask(state, &peer, budget, part, part).await
+        {
+            received += reply.tokens;
+        }
+    }
+    received
+}
+
+fn missing(state: &RouterState, budget: &BudgetId, amount: Tokens) -> Tokens {
+    amount.saturating_sub(super::spendable(state, budget))
+}
+
+fn sorted_peers(state: &RouterState) -> Vec<PeerView> {
+    let mut peers = state.fleet.peers();
+    peers.sort_by_key(|peer| !peer.same_domain);
+    peers
+}
+
+/// Sends one numbered request; an unanswered earlier request to the peer is repeated first.
+async fn ask(
+    state: &RouterState,
+    peer: &PeerView,
+    budget: &BudgetId,
+    least: Tokens,
+    wanted: Tokens,
+) -> Option<TransferReply> {
+    let turn = {
+        let mut givers = state
+            .spend
+            .givers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(givers.entry(peer.holder.clone()).or_default())
+    };
+    let _turn = turn.lock().await;
+    loop {
+        let next = {
+            let mut ledger = state.spend.ledger();
+            // The reclaimer of a giver finds the receivers by their rows in the table.
+            if !ledger.with_row.contains(&state.shard_of(budget)) {
+                return None;
+            }
+            ledger.ledger.ask(&peer.holder, budget, least, wanted)?
+        };
+        let is_new = next.budget == *budget && next.least == least && next.wanted == wanted;
+        let reply = send(state, peer, &next).await?;
+        let mut ledger = state.spend.ledger();
+        ledger
+            .ledger
+            .receive(&state.holder, &peer.holder, next.number, reply.tokens);
+        drop(ledger);
+        if reply.tokens > 0 {
+            tracing::info!(
+                budget = %next.budget, giver = %peer.holder, number = next.number,
+                tokens = reply.tokens, "tokens received from a peer"
+            );
+        }
+        if is_new {
+            return Some(reply);
+        }
+    }
+}
+
+async fn send(state: &RouterState, peer: &PeerView, ask: &TransferAsk) -> Option<TransferReply> {
+    let request = TransferRequest {
+        receiver: state.holder.clone(),
+        giver: peer.holder.clone(),
+        number: ask.number,
+        budget: ask.budget.clone(),
+        least: ask.least,
+        wanted: ask.wanted,
+    };
+    let call = async {
+        let client = peer::connect(peer.address).await?;
+        anyhow::Ok(client.transfer(tarpc::context::current(), request).await?)
+    };
+    match tokio::time::timeout(TRANSFER_TIMEOUT, call).await {
+        Ok(Ok(reply)) => Some(reply),
+        Ok(Err(error)) => {
+            tracing::warn!(%error, giver = %peer.holder, "transfer failed; it will be repeated");
+            None
+        }
+        Err(_) => {
+            tracing::warn!(giver = %peer.holder, "transfer timed out; it will be repeated");
+            None
+        }
+    }
+}
+
+/// Tells a peer to exchange no more tokens with a holder that is gone.
+pub(super) async fn close_at(peer: &PeerView, gone: &HolderId) -> anyhow::Result<()> {
+    let call = async {
+        let client = peer::connect(peer.address).await?;
+        client
+            .close_giver(tarpc::context::current(), gone.clone())
+            .await?;
+        anyhow::Ok(())
+    };
+    tokio::time::timeout(TRANSFER_TIMEOUT, call).await?
+}
+
+/// Gives tokens to a peer; repeats of a transfer get the first result.
+pub(super) fn give(state: &RouterState, request: &TransferRequest) -> TransferReply {
+    let budget = &request.budget;
+    let mut ledger = state.spend.ledger();
+    // A receiver that wants exactly the least has a request that waits and no other source.
+    let keep = if request.wanted > request.least {
+        ledger.forecast(budget, GRANT_COVER)
+    } else {
+        0
+    };
+    let ask = TransferAsk {
+        number: request.number,
+        budget: budget.clone(),
+        least: request.least,
+        wanted: request.wanted,
+        answered: false,
+    };
+    let tokens = ledger
+        .ledger
+        .give(&request.giver, &request.receiver, &ask, keep);
+    let left = ledger.ledger.givable(budget);
+    drop(ledger);
+    if tokens > 0 {
+        tracing::info!(%budget, receiver = %request.receiver, tokens, "tokens given to a peer");
+    }
+    TransferReply { tokens, left }
+}
