--- a/crates/core/src/settle.rs
+++ b/crates/core/src/settle.rs
@@ -20,17 +20,6 @@
     format!("evidence/{holder}/{request}")
 }
 
-/// Proof that a holder is dead.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum DeathProof {
-    /// The registration row of the VM shows a newer boot.
-    NewerBoot,
-    /// The VM was on the list after this boot registered and has left it since.
-    LeftList,
-    /// The holder returned everything itself.
-    Returned,
-}
-
 /// Charge of one request of a dead holder, from an evidence object or an endpoint's stream list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChargeEvidence {
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -3,6 +3,7 @@
 mod config;
 mod membership;
 mod placement;
+mod reclaim;
 mod register;
 
 use std::{
@@ -18,7 +19,7 @@
 use {
     jasminewall_core::{
         BootId, ConfigState, DomainId, EndpointId, HolderId, Revision, VmId,
-        member::{DeathProof, LIST_LAG, MemberState, MemberTable, MemberView, neighbours},
+        member::{LIST_LAG, MemberState, MemberTable, MemberView, neighbours},
         record::EndpointRecord,
         revision::{ConfigChange, ConfigFollower, DeltaOutcome},
         stop,
@@ -31,6 +32,8 @@
 
 pub(crate) use self::{membership::answer_probe, register::remove as remove_registration};
 
+use self::reclaim::PendingDeath;
+
 /// Time for which an endpoint that was named as leaving gets no new work. It is named again by its
 /// own answers or by its record when it still leaves after that.
 const LEAVING_EXPIRY: Duration = Duration::from_secs(600);
@@ -50,6 +53,7 @@
     own_domain: DomainId,
     leaving: AtomicBool,
     registered: AtomicBool,
+    deaths: Mutex<BTreeMap<HolderId, PendingDeath>>,
 }
 
 /// What a router says of its configuration and of the members that it sees.
@@ -86,6 +90,7 @@
             own_domain,
             leaving: AtomicBool::new(false),
             registered: AtomicBool::new(false),
+            deaths: Mutex::default(),
         }
     }
 
@@ -150,7 +155,6 @@
     }
 
     /// Routers that answer probes.
-    #[allow(dead_code, reason = "read by transfers between routers")]
     pub(crate) fn peers(&self) -> Vec<PeerView> {
         let alive = self.members().views(Instant::now()).into_iter();
         let alive = alive.filter(|view| view.state == MemberState::Alive);
@@ -166,6 +170,10 @@
         self.members.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn deaths(&self) -> MutexGuard<'_, BTreeMap<HolderId, PendingDeath>> {
+        self.deaths.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn follower_mut(&self) -> std::sync::RwLockWriteGuard<'_, ConfigFollower> {
         self.follower
             .write()
@@ -241,13 +249,6 @@
     }
 }
 
-/// Hands a proven death to the reclaim of its account.
-///
-/// This is the only place that starts a reclaim; it calls `spend::reclaim` once that exists.
-pub(crate) fn reclaim_dead(_state: &RouterState, dead: &HolderId, proof: DeathProof) {
-    tracing::info!(%dead, ?proof, "router run is proven dead; its account may be settled");
-}
-
 /// Addresses of the members that this router probes and pushes to.
 pub(crate) fn neighbour_views(state: &RouterState) -> Vec<MemberView> {
     let views = membership::present(state);
@@ -272,6 +273,7 @@
     tasks.spawn(membership::run_list(state.clone()));
     tasks.spawn(register::run(state.clone()));
     tasks.spawn(placement::run(state.clone()));
+    tasks.spawn(reclaim::run(state.clone()));
     while tasks.join_next().await.is_some() {}
 }
 
--- a/crates/router/src/fleet/membership.rs
+++ b/crates/router/src/fleet/membership.rs
@@ -23,7 +23,7 @@
     tokio::time::timeout,
 };
 
-use super::{PLATFORM_TIMEOUT, neighbour_views, pause, reclaim_dead};
+use super::{PLATFORM_TIMEOUT, neighbour_views, pause, reclaim};
 use crate::{peer, state::RouterState};
 
 /// Time between two probes of a peer.
@@ -235,7 +235,7 @@
 fn report_deaths(state: &RouterState) {
     let dead = state.fleet.members().take_dead();
     for (holder, proof) in dead {
-        reclaim_dead(state, &holder, proof);
+        reclaim::note_death(state, &holder, proof);
     }
 }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -25,5 +25,6 @@
     embed::{EmbedFleet, StandinFleet},
     fleet::VersionReport,
     setting::{RouterSetting, StandinSetting},
+    spend::ReclaimReport,
     state::{RouterHandle, RouterState, StopPlan},
 };
--- a/crates/router/src/peer.rs
+++ b/crates/router/src/peer.rs
@@ -36,7 +36,6 @@
 
 /// Another router that answers probes.
 #[derive(Clone, Debug)]
-#[allow(dead_code, reason = "read by transfers between routers")]
 pub(crate) struct PeerView {
     /// Router run that answered the last probe.
     pub(crate) holder: HolderId,
