Add the routing simulation in virtual time and tune the policy with it

The core learns lengths per class, sizes reservations by need, keeps median token times and does not pile long work up at endpoints that hold it back.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{CustomerId, RefusalCode, RouteId, Tokens};
+use crate::{CustomerId, RefusalCode, RouteId, Tokens, choice::FirstToken};
 
 /// Class of work, by how long a caller can wait and how long the work runs.
 #[derive(
@@ -29,6 +29,16 @@
     /// All classes, most urgent first.
     pub const ALL: [Self; 3] = [Self::Short, Self::Normal, Self::Long];
 
+    /// Output expected of a customer and route that were never seen, in tokens. Low, because a
+    /// value above the truth refuses requests that could have ended in time.
+    fn usual_length(self) -> Tokens {
+        match self {
+            Self::Short => 16,
+            Self::Normal => 128,
+            Self::Long => 1_024,
+        }
+    }
+
     fn index(self) -> usize {
         self as usize
     }
@@ -38,7 +48,7 @@
         match self {
             Self::Short => 30.0,
             Self::Normal => 20.0,
-            Self::Long => 20.0,
+            Self::Long => 10.0,
         }
     }
 }
@@ -48,16 +58,27 @@
 /// Time constant of the recent peak that sizes a reservation. Load swings within seconds, so a
 /// reservation has to outlast the gap between two swings.
 const PEAK_DECAY: Duration = Duration::from_secs(8);
-/// Time constant of the measured token rate.
-const RATE_DECAY: Duration = Duration::from_secs(3);
+/// Time constant of the measured token rates, over a few swings of the load.
+const RATE_DECAY: Duration = Duration::from_secs(10);
+/// Least part of the capacity that a class counts on.
+const RATE_LEAST: f64 = 0.05;
+/// Factor on the expected wait when it is compared with a deadline. Lengths are heavy-tailed, and
+/// work that is cut off by its deadline is wasted.
+const WAIT_MARGIN: u32 = 2;
+/// Increase of the reservations, as a share of their full size, by one delayed short request.
+const RESERVE_STEP: f64 = 0.25;
+/// Factor on the reservations by one short request that was not delayed. Endpoints that run
+/// urgent work at once, whatever else they run, need no idle slots.
+const RESERVE_DECAY: f64 = 0.97;
+/// Least part of the full reservations that is kept. Without it, urgent work that arrives on full
+/// endpoints pauses long work over and over, which costs more than the idle slots.
+const RESERVE_LEAST: f64 = 0.4;
 /// Service is counted in thousandths of a token per unit of weight.
 const SERVICE_SCALE: u64 = 1_000;
 /// Customers and routes whose lengths are remembered.
 const LENGTH_LIMIT: usize = 16_384;
 /// Weight of one more observation of a length. Lengths are heavy-tailed, so the estimate moves slowly.
 const LENGTH_GAIN: f64 = 0.05;
-/// Output expected of a customer and route that were never seen, in tokens.
-const LENGTH_DEFAULT: Tokens = 256;
 
 /// Learned length of answers per customer and route.
 #[derive(Debug, Default)]
@@ -67,9 +88,15 @@
 
 impl LengthTable {
     /// Expected output in tokens, at most `limit`.
-    pub fn expect(&self, customer: &CustomerId, route: &RouteId, limit: Tokens) -> Tokens {
+    pub fn expect(
+        &self,
+        customer: &CustomerId,
+        route: &RouteId,
+        class: WorkClass,
+        limit: Tokens,
+    ) -> Tokens {
         let mean = self.means.get(&(customer.clone(), route.clone()));
-        mean.map_or(LENGTH_DEFAULT, |mean| *mean as Tokens)
+        mean.map_or(class.usual_length(), |mean| *mean as Tokens)
             .clamp(1, limit.max(1))
     }
 
@@ -124,8 +151,10 @@
 /// Capacity that one router may use, as it knows it.
 #[derive(Clone, Copy, Debug)]
 pub struct CapacityView {
-    /// Requests that may run at once.
+    /// Requests that this router may have open at once.
     pub slots: f64,
+    /// Slots that are left to this router when all routers are equally busy.
+    pub share: f64,
     /// Time for one token of one request.
     pub token_time: Duration,
 }
@@ -135,6 +164,7 @@
     running: u32,
     peak: f64,
     waiting: usize,
+    rate: f64,
 }
 
 #[derive(Debug)]
@@ -152,7 +182,7 @@
     classes: [ClassState; 3],
     accounts: BTreeMap<CustomerId, CustomerAccount<T>>,
     clock: u64,
-    rate: f64,
+    reserved: f64,
     rate_at: Option<Instant>,
     peak_at: Option<Instant>,
 }
@@ -163,7 +193,7 @@
             classes: Default::default(),
             accounts: BTreeMap::new(),
             clock: 0,
-            rate: 0.0,
+            reserved: 1.0,
             rate_at: None,
             peak_at: None,
         }
@@ -209,7 +239,7 @@
     ) -> Vec<RefusedWork<T>> {
         let class = work.class;
         let wait = self.expected_wait(&work.customer, work.weight, class, view);
-        if now + wait + run_time(work.work, view) > work.deadline {
+        if now + wait * WAIT_MARGIN + run_time(work.work, view) > work.deadline {
             return vec![RefusedWork {
                 item: work.item,
                 code: RefusalCode::DeadlineTooShort,
@@ -290,16 +320,32 @@
         }
     }
 
-    /// Counts generated tokens towards the measured rate.
-    pub fn progress(&mut self, tokens: Tokens, now: Instant) {
+    /// Counts generated tokens towards the measured rate of a class.
+    pub fn progress(&mut self, class: WorkClass, tokens: Tokens, now: Instant) {
         let elapsed = self
             .rate_at
             .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        self.rate *= (-elapsed.as_secs_f64() / RATE_DECAY.as_secs_f64()).exp();
-        self.rate += tokens as f64 / RATE_DECAY.as_secs_f64();
+        let factor = (-elapsed.as_secs_f64() / RATE_DECAY.as_secs_f64()).exp();
+        for state in &mut self.classes {
+            state.rate *= factor;
+        }
+        self.classes[class.index()].rate += tokens as f64 / RATE_DECAY.as_secs_f64();
         self.rate_at = Some(now);
     }
 
+    /// Notes a first token: delayed short work raises the reservations, other short work lets
+    /// them shrink.
+    pub fn note_first(&mut self, first: &FirstToken) {
+        if first.class != WorkClass::Short {
+            return;
+        }
+        self.reserved = if first.delayed {
+            (self.reserved + RESERVE_STEP).min(1.0)
+        } else {
+            (self.reserved * RESERVE_DECAY).max(RESERVE_LEAST)
+        };
+    }
+
     /// Number of requests that wait.
     pub fn waiting(&self) -> usize {
         self.classes.iter().map(|class| class.waiting).sum()
@@ -333,32 +379,38 @@
         class: WorkClass,
         view: CapacityView,
     ) -> Duration {
-        let urgent = &WorkClass::ALL[..=class.index()];
-        let ahead = |account: &CustomerAccount<T>| -> Tokens {
-            urgent
-                .iter()
-                .map(|class| account.queued[class.index()])
-                .sum()
-        };
-        let own = self.accounts.get(customer).map_or(0, ahead);
+        let index = class.index();
+        let own = self.accounts.get(customer);
+        let own = own.map_or(0, |account| account.queued[index]);
         if own == 0 {
             return Duration::ZERO;
         }
-        let active = self.accounts.values().filter(|account| ahead(account) > 0);
+        let queued = self.accounts.values();
+        let active = queued.filter(|account| account.queued[index] > 0);
         let (weights, total) = active.fold((0.0, 0), |(weights, total), account| {
-            (weights + f64::from(account.weight), total + ahead(account))
+            (
+                weights + f64::from(account.weight),
+                total + account.queued[index],
+            )
         });
         let share = f64::from(weight.max(1)) / weights;
         let work = (own as f64 / share).min(total as f64);
-        let capacity = view.slots / view.token_time.as_secs_f64().max(1e-6);
-        // The measured rate includes other routers' use of the endpoints; the configured capacity
-        // covers the time before enough was measured.
-        let rate = if self.rate > capacity * 0.1 {
-            self.rate
-        } else {
-            capacity
-        };
-        Duration::from_secs_f64((work / rate.max(1.0)).min(3_600.0))
+        let rate = self.available_rate(class, view).max(1.0);
+        Duration::from_secs_f64((work / rate).min(3_600.0))
+    }
+
+    /// Tokens per second that a class can count on: what it got lately, or what more urgent
+    /// classes leave of the router's share.
+    fn available_rate(&self, class: WorkClass, view: CapacityView) -> f64 {
+        let capacity = view.share / view.token_time.as_secs_f64().max(1e-6);
+        let urgent: f64 = self.classes[..class.index()]
+            .iter()
+            .map(|state| state.rate)
+            .sum();
+        self.classes[class.index()]
+            .rate
+            .max(capacity - urgent)
+            .max(capacity * RATE_LEAST)
     }
 
     fn push(&mut self, work: QueuedWork<T>) {
@@ -437,10 +489,11 @@
         free >= 1.0 || f64::from(self.running(class)) + 1.0 <= self.reserve(class, view)
     }
 
-    /// Slots reserved for a class: its recent peak, within its share of the capacity.
+    /// Slots reserved for a class: its recent peak, within its share of the capacity, as far as
+    /// reservations are needed.
     fn reserve(&self, class: WorkClass, view: CapacityView) -> f64 {
         let share = view.slots * class.reserve_percent() / 100.0;
-        self.classes[class.index()].peak.min(share)
+        self.classes[class.index()].peak.min(share) * self.reserved
     }
 
     fn decay_peaks(&mut self, now: Instant) {
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -11,11 +11,14 @@
 
 use rand::{Rng, seq::index};
 
-use crate::{EndpointId, Tokens, admission::WorkClass};
+use crate::{
+    EndpointId, Tokens,
+    admission::{CapacityView, WorkClass},
+};
 
 pub use crate::choice::{
     pool::EndpointPool,
-    stats::{EndpointStats, LoadReport, WorkId},
+    stats::{EndpointStats, FirstToken, LoadReport, WorkId},
 };
 
 mod pool;
@@ -187,9 +190,9 @@
         Some(endpoint.clone())
     }
 
-    /// Slots of a pool that this router may use, with the mean time for one token.
-    pub fn capacity(&self, pool: &EndpointPool) -> (f64, Duration) {
-        pool.capacity(&self.stats)
+    /// Capacity of a pool that this router may use.
+    pub fn capacity(&self, pool: &EndpointPool) -> CapacityView {
+        pool.capacity(self.routers)
     }
 
     /// Notes a request as sent.
@@ -205,18 +208,22 @@
         id
     }
 
-    /// Notes that an endpoint sent part of an answer.
-    pub fn progress(&mut self, endpoint: &EndpointId, id: WorkId, tokens: Tokens, now: Instant) {
-        let Some(stats) = self.stats.get_mut(endpoint) else {
-            return;
-        };
-        let Some(first) = stats.progress(id, tokens, now) else {
-            return;
-        };
-        if self.first_tokens.len() == FIRST_TOKEN_SAMPLES {
-            self.first_tokens.pop_front();
+    /// Notes that an endpoint sent part of an answer; describes the first token of a request.
+    pub fn progress(
+        &mut self,
+        endpoint: &EndpointId,
+        id: WorkId,
+        tokens: Tokens,
+        now: Instant,
+    ) -> Option<FirstToken> {
+        let first = self.stats.get_mut(endpoint)?.progress(id, tokens, now)?;
+        if first.class == WorkClass::Short {
+            if self.first_tokens.len() == FIRST_TOKEN_SAMPLES {
+                self.first_tokens.pop_front();
+            }
+            self.first_tokens.push_back(first.time);
         }
-        self.first_tokens.push_back(first);
+        Some(first)
     }
 
     /// Notes the end of a request; `output` is known when the whole answer arrived.
@@ -318,7 +325,7 @@
             .entry(endpoint.clone())
             .or_insert_with(|| EndpointStats::new(pool.slots(index), routers));
         stats.update_weight(pool.token_time(), now);
-        if !stats.has_room(need) {
+        if !stats.has_room(need, now) {
             return None;
         }
         let hinted = need.prefix.is_some_and(|prefix| stats.has_prefix(prefix));
--- a/crates/core/src/choice/pool.rs
+++ b/crates/core/src/choice/pool.rs
@@ -8,7 +8,7 @@
     xxhash_rust::xxh3::xxh3_64,
 };
 
-use crate::{EndpointId, choice::stats::EndpointStats};
+use crate::{EndpointId, admission::CapacityView, choice::stats::EndpointStats};
 
 /// Time between two looks at the peers of an endpoint.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
@@ -28,6 +28,8 @@
     members: Vec<(EndpointId, u32)>,
     refreshed: Option<Instant>,
     token_time: f64,
+    /// Slots, less those of slow endpoints.
+    slots: f64,
     limit: f64,
     open: f64,
 }
@@ -45,6 +47,7 @@
             members,
             refreshed: None,
             token_time: TOKEN_TIME,
+            slots: limit,
             limit,
             open: 0.0,
         }
@@ -82,8 +85,12 @@
         self.open >= self.limit * ROOM_SHORT
     }
 
-    pub(super) fn capacity(&self, _stats: &HashMap<EndpointId, EndpointStats>) -> (f64, Duration) {
-        (self.limit, Duration::from_secs_f64(self.token_time))
+    pub(super) fn capacity(&self, routers: u32) -> CapacityView {
+        CapacityView {
+            slots: self.limit,
+            share: self.slots / f64::from(routers),
+            token_time: Duration::from_secs_f64(self.token_time),
+        }
     }
 
     /// Number of endpoints, from the first, on which long work is concentrated.
@@ -120,18 +127,21 @@
         self.refreshed = Some(now);
         let looked = self.members.len().min(REFRESH_SAMPLE);
         let mut times = Vec::with_capacity(looked);
-        let (mut limit, mut open) = (0.0, 0.0);
+        let (mut all, mut limit, mut open) = (0.0, 0.0, 0.0);
         for member in index::sample(rng, self.members.len(), looked) {
             let (endpoint, slots) = &self.members[member];
             let Some(known) = stats.get(endpoint) else {
+                all += f64::from(*slots);
                 limit += f64::from(*slots);
                 continue;
             };
+            all += f64::from(*slots) * known.weight();
             limit += known.limit() * known.weight();
             open += known.open() as f64;
             times.extend(known.token_time());
         }
         let scale = self.members.len() as f64 / looked as f64;
+        self.slots = all * scale;
         self.limit = limit * scale;
         self.open = open * scale;
         if !times.is_empty() {
--- a/crates/core/src/choice/stats.rs
+++ b/crates/core/src/choice/stats.rs
@@ -5,9 +5,9 @@
 
 use crate::{Tokens, admission::WorkClass, choice::WorkNeed};
 
-/// Weight of one more observed token time. 10 tokens at 20 ms move the average by nine tenths,
-/// well within the 2 s in which a slow endpoint must lose traffic.
-const TOKEN_GAIN: f64 = 0.2;
+/// Token times that are kept. Their median ignores the pause of a single stream, and five slow
+/// tokens change it, well within the 2 s in which a slow endpoint must lose traffic.
+const TOKEN_SAMPLES: usize = 9;
 /// Token time assumed before any was observed, in seconds.
 const TOKEN_TIME: f64 = 0.02;
 /// Times the median of its peers from which an endpoint counts as slow. Healthy engines differ by
@@ -19,10 +19,8 @@
 const WEIGHT_MIN: f64 = 0.01;
 /// Times the least first-token time from which an endpoint counts as queueing.
 const QUEUE_FACTOR: f64 = 2.5;
-/// Jitter of the first token that is no sign of a queue, in seconds.
-const QUEUE_JITTER: f64 = 0.05;
 /// Factor on the concurrency limit when the endpoint queues.
-const LIMIT_BACKOFF: f64 = 0.85;
+const LIMIT_BACKOFF: f64 = 0.9;
 /// Least time between two reductions; the requests in flight at the first show the old limit.
 const BACKOFF_INTERVAL: Duration = Duration::from_millis(250);
 /// Share of the limit that long work may use, so that short work finds a slot.
@@ -30,7 +28,7 @@
 /// Slots beyond the limit that short work may use; engines run it first by its priority.
 const SHORT_EXTRA: f64 = 1.0;
 /// Prompt tokens that take as long as one output token.
-const PROMPT_PER_OUTPUT: f64 = 100.0;
+const PROMPT_PER_OUTPUT: f64 = 200.0;
 /// Time constant with which a late load report loses its value.
 const REPORT_DECAY: Duration = Duration::from_secs(5);
 /// Prefix hints that are kept for one endpoint.
@@ -40,6 +38,9 @@
 /// Time for which an endpoint that failed gets no work unless nothing else has room.
 const FAIL_PAUSE: Duration = Duration::from_secs(1);
 
+/// Silence of long work from which it counts as held back by the endpoint.
+const LONG_PAUSE: Duration = Duration::from_secs(1);
+
 /// Number of one open request at an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct WorkId(pub(super) u64);
@@ -55,6 +56,17 @@
     pub queued: u32,
 }
 
+/// First token of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FirstToken {
+    /// Class of the request.
+    pub class: WorkClass,
+    /// Time since the request was sent.
+    pub time: Duration,
+    /// Whether it took so long that the request must have waited at the endpoint.
+    pub delayed: bool,
+}
+
 #[derive(Debug)]
 struct OpenWork {
     id: WorkId,
@@ -73,6 +85,7 @@
     slots: u32,
     limit: f64,
     backed_off: Option<Instant>,
+    token_times: VecDeque<f64>,
     token_time: Option<f64>,
     first_least: [f64; 16],
     seen: Option<Instant>,
@@ -95,6 +108,7 @@
                 .ceil()
                 .clamp(1.0, f64::from(slots)),
             backed_off: None,
+            token_times: VecDeque::with_capacity(TOKEN_SAMPLES),
             token_time: None,
             first_least: [f64::INFINITY; 16],
             seen: None,
@@ -191,13 +205,13 @@
         }
     }
 
-    /// Takes generated tokens; returns the time to the first token of short work.
+    /// Takes generated tokens; describes the first one of a request.
     pub(super) fn progress(
         &mut self,
         id: WorkId,
         tokens: Tokens,
         now: Instant,
-    ) -> Option<Duration> {
+    ) -> Option<FirstToken> {
         let work = self.open.iter_mut().find(|work| work.id == id)?;
         self.seen = Some(now);
         self.failed = None;
@@ -205,14 +219,18 @@
         let since = now.saturating_duration_since(work.last).as_secs_f64();
         work.last = now;
         if work.started {
-            observe(&mut self.token_time, since / tokens.max(1) as f64);
+            self.observe(since / tokens.max(1) as f64);
             return None;
         }
         work.started = true;
         let first = now.saturating_duration_since(work.sent);
         let (prompt, class) = (work.prompt, work.class);
-        self.adapt_limit(prompt, first.as_secs_f64(), now);
-        (class == WorkClass::Short).then_some(first)
+        let delayed = self.adapt_limit(class, prompt, first.as_secs_f64(), now);
+        Some(FirstToken {
+            class,
+            time: first,
+            delayed,
+        })
     }
 
     pub(super) fn finish(&mut self, id: WorkId, output: Option<Tokens>, now: Instant) {
@@ -226,7 +244,7 @@
         if !work.started && output > 0 {
             let elapsed = now.saturating_duration_since(work.sent).as_secs_f64();
             self.seen = Some(now);
-            observe(&mut self.token_time, elapsed / output as f64);
+            self.observe(elapsed / output as f64);
         }
     }
 
@@ -264,23 +282,23 @@
         1.0 / (ratio * ratio)
     }
 
-    /// Observed token time; silence of the open streams counts as soon as it is longer.
+    /// Observed token time; the silence of all open streams counts as soon as it is longer.
+    ///
+    /// Long work is left out, as engines pause it for more urgent work.
     fn current_token_time(&self, now: Instant) -> Option<f64> {
-        let mut silences: Vec<f64> = self
-            .open
-            .iter()
-            .filter(|work| work.started)
-            .map(|work| now.saturating_duration_since(work.last).as_secs_f64())
-            .collect();
         let observed = self.token_time?;
-        if silences.is_empty() {
-            return Some(observed);
-        }
-        silences.sort_by(f64::total_cmp);
-        Some(observed.max(silences[silences.len() / 2]))
+        let streams = self.open.iter();
+        let silences = streams
+            .filter(|work| work.started && work.class != WorkClass::Long)
+            .map(|work| now.saturating_duration_since(work.last).as_secs_f64());
+        Some(
+            silences
+                .reduce(f64::min)
+                .map_or(observed, |silence| silence.max(observed)),
+        )
     }
 
-    pub(super) fn has_room(&self, need: &WorkNeed<'_>) -> bool {
+    pub(super) fn has_room(&self, need: &WorkNeed<'_>, now: Instant) -> bool {
         if need.isolate {
             return self.open.is_empty();
         }
@@ -289,14 +307,26 @@
         }
         let open = self.open.len() as f64;
         match need.class {
-            WorkClass::Short => open < self.limit + SHORT_EXTRA,
+            WorkClass::Short => open < (self.limit + SHORT_EXTRA).min(f64::from(self.slots)),
             WorkClass::Normal => open < self.limit,
             WorkClass::Long => {
-                open < self.limit && (self.long_open() as f64) < (self.limit * LONG_SHARE).max(1.0)
+                open < self.limit
+                    && (self.long_open() as f64) < (self.limit * LONG_SHARE).max(1.0)
+                    && !self.holds_back_long(now)
             }
         }
     }
 
+    /// Whether long work of this router waits or is paused at the endpoint. More of it would wait
+    /// there unseen, where its deadline cannot be judged.
+    fn holds_back_long(&self, now: Instant) -> bool {
+        let mut long = self
+            .open
+            .iter()
+            .filter(|work| work.class == WorkClass::Long);
+        long.any(|work| now.saturating_duration_since(work.last) > LONG_PAUSE)
+    }
+
     /// Expected seconds until a request would be answered.
     pub(super) fn expected_time(&self, need: &WorkNeed<'_>, peers: f64, now: Instant) -> f64 {
         let token_time = self.current_token_time(now).unwrap_or(peers);
@@ -323,13 +353,24 @@
         others.max(0.0) * REPORT_WORK * (-age / REPORT_DECAY.as_secs_f64()).exp()
     }
 
-    /// Lowers the concurrency limit when the endpoint queues, raises it while it does not.
-    fn adapt_limit(&mut self, prompt: Tokens, first: f64, now: Instant) {
+    fn observe(&mut self, token_time: f64) {
+        if self.token_times.len() == TOKEN_SAMPLES {
+            self.token_times.pop_front();
+        }
+        self.token_times.push_back(token_time);
+        let mut sorted: Vec<f64> = self.token_times.iter().copied().collect();
+        sorted.sort_by(f64::total_cmp);
+        self.token_time = Some(sorted[sorted.len() / 2]);
+    }
+
+    /// Lowers the concurrency limit when the endpoint queues and returns `true`, or raises it while it does not.
+    fn adapt_limit(&mut self, class: WorkClass, prompt: Tokens, first: f64, now: Instant) -> bool {
         let bucket = prompt.max(1).ilog2().min(15) as usize;
         let least = &mut self.first_least[bucket];
         // The least value rises slowly, so that a changed endpoint gets a new baseline.
         *least = (*least * 1.01).min(first);
-        if first > *least * QUEUE_FACTOR + QUEUE_JITTER {
+        let delayed = first > *least * QUEUE_FACTOR + queue_allowance(class);
+        if delayed {
             let rests = self
                 .backed_off
                 .is_none_or(|at| now.saturating_duration_since(at) >= BACKOFF_INTERVAL);
@@ -340,10 +381,16 @@
         } else if self.open.len() as f64 + 1.0 >= self.limit {
             self.limit = (self.limit + 1.0 / self.limit).min(f64::from(self.slots));
         }
+        delayed
     }
 }
 
-fn observe(average: &mut Option<f64>, value: f64) {
-    let known = average.get_or_insert(value);
-    *known += (value - *known) * TOKEN_GAIN;
+/// Wait at the endpoint, in seconds, that is no reason to lower its limit. Some waiting long work
+/// keeps the slots of an endpoint in use; urgent work should not wait at all.
+fn queue_allowance(class: WorkClass) -> f64 {
+    match class {
+        WorkClass::Short => 0.1,
+        WorkClass::Normal => 0.3,
+        WorkClass::Long => 3.0,
+    }
 }
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -96,7 +96,7 @@
     /// Notes that the endpoint sent part of the answer.
     pub(crate) fn progress(&mut self) {
         let mut table = self.state.routing.endpoints();
-        table.progress(&self.endpoint, self.work, 1, Instant::now());
+        let _first = table.progress(&self.endpoint, self.work, 1, Instant::now());
     }
 
     /// Notes that the whole answer arrived.
--- /dev/null
+++ b/crates/testkit/src/sim.rs
@@ -0,0 +1,3 @@
+//! Simulations in virtual time.
+
+pub mod routing;
