--- a/crates/core/src/revision.rs
+++ b/crates/core/src/revision.rs
@@ -251,6 +251,12 @@
         self.highest = self.highest.max(revision);
     }
 
+    /// Starts a round of asking. An earlier round that did not make the run ready counts no more:
+    /// sources may have come into reach since then.
+    pub fn begin_asking(&mut self) {
+        self.asked = false;
+    }
+
     /// Notes that the platform and every peer in reach were asked for their revision.
     pub fn finish_asking(&mut self) {
         self.asked = true;
--- /dev/null
+++ b/crates/core/tests/fleet_member.rs
@@ -0,0 +1,359 @@
+//! Guards against a proof of death for a run that can still spend, against messages of older runs
+//! that change what is known of a newer one, and against members that nobody probes.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use {
+    jasminewall_core::{
+        HolderId, VmId,
+        member::{
+            DeathProof, EarlierRun, MemberState, MemberTable, ProbeAnswer, RegistrationRow,
+            neighbours, owner_of,
+        },
+    },
+    quickcheck::QuickCheck,
+    rand::{Rng, SeedableRng, seq::IndexedRandom},
+    rand_chacha::ChaCha8Rng,
+};
+
+const SCHEDULES: u64 = 10_000;
+const STEPS: usize = 150;
+const LAG: Duration = Duration::from_secs(60);
+
+fn row(vm: &str, boot: u64, port: u16) -> RegistrationRow {
+    RegistrationRow {
+        vm: vm.into(),
+        boot,
+        address: ([10, 0, 0, 1], port).into(),
+        failure_domain: "domain-a".into(),
+        stopped: false,
+        earlier: Vec::new(),
+    }
+}
+
+fn answer(vm: &str, boot: u64) -> ProbeAnswer {
+    ProbeAnswer {
+        holder: HolderId::new(vm, boot),
+        address: ([10, 0, 0, 1], 1).into(),
+        failure_domain: "domain-a".into(),
+        revision: 1,
+        leaving: false,
+    }
+}
+
+fn table() -> MemberTable {
+    MemberTable::new(HolderId::new("own", 1), LAG)
+}
+
+/// One VM name over its life: VM instances follow each other, and runs follow each other on them.
+#[derive(Default)]
+struct VmStory {
+    up: bool,
+    port: u16,
+    /// Run that may spend; a paused run may, too.
+    spender: Option<u64>,
+    row: Option<RegistrationRow>,
+    /// Whether the VM was up, since each second.
+    history: Vec<(u64, bool)>,
+}
+
+impl VmStory {
+    fn set_up(&mut self, second: u64, up: bool) {
+        self.up = up;
+        self.history.push((second, up));
+    }
+
+    fn was_up(&self, second: u64) -> bool {
+        let past = self.history.iter().rev();
+        past.into_iter()
+            .find(|(at, _)| *at <= second)
+            .is_some_and(|(_, up)| *up)
+    }
+}
+
+#[derive(Clone)]
+enum Late {
+    Row(RegistrationRow),
+    Answer(ProbeAnswer, Instant),
+    Call(HolderId),
+    List(Vec<(VmId, bool)>, Instant),
+}
+
+struct DeathSchedule {
+    rng: ChaCha8Rng,
+    start: Instant,
+    second: u64,
+    next_boot: u64,
+    vms: BTreeMap<VmId, VmStory>,
+    late: Vec<Late>,
+    table: MemberTable,
+}
+
+impl DeathSchedule {
+    fn now(&self) -> Instant {
+        self.start + Duration::from_secs(self.second)
+    }
+
+    fn step(&mut self) {
+        self.second += self.rng.random_range(0..20);
+        let name = *["a", "b"].choose(&mut self.rng).unwrap();
+        let (second, now) = (self.second, self.now());
+        let vm = self.vms.get_mut(name).unwrap();
+        match self.rng.random_range(0..11) {
+            // A VM of the name starts, on the address of the last one or on a new one.
+            0 if !vm.up => {
+                vm.set_up(second, true);
+                vm.port += u16::from(self.rng.random::<bool>());
+            }
+            1 if vm.up && self.rng.random_ratio(1, 2) => {
+                vm.set_up(second, false);
+                vm.spender = None;
+            }
+            // A new run binds the port, which the older run must have given up, then registers.
+            2 if vm.up => {
+                self.next_boot += 1;
+                vm.spender = Some(self.next_boot);
+                let next = row(name, self.next_boot, vm.port);
+                vm.row = Some(next.replacing(vm.row.take()));
+            }
+            3 if vm.up && self.rng.random_ratio(1, 3) => {
+                let registered = vm.row.as_mut().filter(|row| Some(row.boot) == vm.spender);
+                if let Some(registered) = registered {
+                    registered.stopped = true;
+                    vm.spender = None;
+                }
+            }
+            4 => self.late.extend(vm.row.clone().map(Late::Row)),
+            5 => {
+                let boot = vm.spender.unwrap_or(self.next_boot);
+                self.late.push(Late::Answer(answer(name, boot), now));
+                self.late.push(Late::Call(HolderId::new(name, boot)));
+            }
+            6 => self.table.observe_silence(&name.into(), now),
+            7 | 8 => self.read_list(),
+            _ => self.deliver(),
+        }
+    }
+
+    /// Reads a list whose entries are each late by up to the lag.
+    fn read_list(&mut self) {
+        let mut list = Vec::new();
+        for (name, vm) in &self.vms {
+            let late = self.rng.random_range(0..LAG.as_secs());
+            if vm.was_up(self.second.saturating_sub(late)) {
+                list.push((name.clone(), self.rng.random_ratio(1, 4)));
+            }
+        }
+        self.late.push(Late::List(list, self.now()));
+    }
+
+    fn deliver(&mut self) {
+        if self.late.is_empty() {
+            return;
+        }
+        let index = self.rng.random_range(0..self.late.len());
+        let message = self.late[index].clone();
+        if self.rng.random_ratio(3, 4) {
+            self.late.swap_remove(index);
+        }
+        let now = self.now();
+        match message {
+            Late::Row(row) => self.table.observe_registration(&row, now),
+            Late::Answer(answer, started) => {
+                self.table.observe_answer(&answer, started, now);
+            }
+            Late::Call(holder) => self.table.observe_call(&holder, now),
+            Late::List(list, started) => self.table.observe_list(&list, started),
+        }
+    }
+
+    fn spenders_have_no_proof(&self) -> bool {
+        self.vms.iter().all(|(name, vm)| {
+            let proof = |boot| self.table.proof(&HolderId::new(name.clone(), boot));
+            vm.spender.and_then(proof).is_none()
+        })
+    }
+}
+
+fn death_schedule(seed: u64) -> bool {
+    let mut schedule = DeathSchedule {
+        rng: ChaCha8Rng::seed_from_u64(seed),
+        start: Instant::now(),
+        second: 100,
+        next_boot: 0,
+        vms: [
+            ("a".into(), VmStory::default()),
+            ("b".into(), VmStory::default()),
+        ]
+        .into(),
+        late: Vec::new(),
+        table: table(),
+    };
+    (0..STEPS).all(|_| {
+        schedule.step();
+        schedule.spenders_have_no_proof()
+    })
+}
+
+#[test]
+fn no_proof_of_death_for_a_run_that_can_spend() {
+    QuickCheck::new()
+        .tests(SCHEDULES)
+        .quickcheck(death_schedule as fn(u64) -> bool);
+}
+
+/// Guards against a proof that is never given, which would hold tokens for ever.
+#[test]
+fn each_proof_is_given_when_its_evidence_is_complete() {
+    let start = Instant::now();
+    let (old, gone) = (HolderId::new("a", 1), HolderId::new("b", 2));
+    let mut members = table();
+    members.observe_registration(&row("a", 1, 1), start);
+    members.observe_registration(&row("b", 2, 1), start);
+    let both = [("a".into(), false), ("b".into(), false)];
+    members.observe_list(&both, start + LAG / 2);
+    members.observe_list(&both[..1], start + LAG);
+    assert_eq!(
+        members.proof(&gone),
+        None,
+        "never seen on the list after the lag"
+    );
+    members.observe_list(&both, start + LAG);
+    members.observe_list(&both[..1], start + LAG + Duration::from_secs(1));
+    assert_eq!(members.proof(&gone), Some(DeathProof::LeftList));
+
+    let silence = start + Duration::from_secs(86_400);
+    members.observe_silence(&"a".into(), start);
+    assert_eq!(members.state(&"a".into(), silence), MemberState::Suspect);
+    assert_eq!(members.proof(&old), None, "a pause of a day is no proof");
+    members.observe_registration(&row("a", 3, 2).replacing(Some(row("a", 1, 1))), silence);
+    assert_eq!(
+        members.proof(&old),
+        None,
+        "the newer run has another address"
+    );
+    let mut same = row("a", 4, 1);
+    same.earlier = vec![EarlierRun {
+        boot: 1,
+        address: same.address,
+    }];
+    members.observe_registration(&same, silence);
+    assert_eq!(members.proof(&old), Some(DeathProof::NewerBoot));
+
+    same.stopped = true;
+    members.observe_registration(&same, silence);
+    assert_eq!(
+        members.proof(&HolderId::new("a", 4)),
+        Some(DeathProof::Returned)
+    );
+    let reported: Vec<_> = members.take_dead();
+    assert_eq!(reported.len(), 3);
+    assert!(members.take_dead().is_empty(), "a death is reported once");
+}
+
+/// Guards against an answer or call in flight from an older run on the same address.
+#[test]
+fn messages_of_an_older_run_change_nothing() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let mut members = table();
+    assert!(members.observe_answer(&answer("a", 1), at(0), at(0)));
+    assert!(members.observe_answer(&answer("a", 2), at(2), at(3)));
+    assert!(
+        !members.observe_answer(&answer("a", 1), at(1), at(4)),
+        "late answer"
+    );
+    assert!(
+        !members.observe_answer(&answer("a", 1), at(5), at(6)),
+        "kept connection"
+    );
+    assert!(!members.observe_leaving(&HolderId::new("a", 1)));
+    members.observe_call(&HolderId::new("a", 1), at(6));
+    let view = &members.views(at(4))[0];
+    assert_eq!((view.holder.boot, view.state), (2, MemberState::Alive));
+}
+
+#[test]
+fn one_way_partition_shows_as_a_suspect_that_calls() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let mut members = table();
+    members.observe_answer(&answer("a", 1), at(0), at(0));
+    for second in 1..=5 {
+        members.observe_silence(&"a".into(), at(second));
+        members.observe_call(&HolderId::new("a", 1), at(second));
+    }
+    let view = &members.views(at(5))[0];
+    assert_eq!((view.state, view.one_way), (MemberState::Suspect, true));
+    members.observe_answer(&answer("a", 1), at(6), at(6));
+    let view = &members.views(at(6))[0];
+    assert_eq!((view.state, view.one_way), (MemberState::Alive, false));
+}
+
+#[test]
+fn states_follow_the_list_and_the_run_itself() {
+    let start = Instant::now();
+    let mut members = table();
+    let vm: VmId = "a".into();
+    assert_eq!(members.state(&vm, start), MemberState::Unknown);
+    members.observe_list(&[(vm.clone(), false)], start);
+    assert_eq!(members.state(&vm, start), MemberState::Unknown);
+    members.observe_answer(&answer("a", 1), start, start);
+    assert_eq!(members.state(&vm, start), MemberState::Alive);
+    assert!(members.observe_leaving(&HolderId::new("a", 1)));
+    assert_eq!(members.state(&vm, start), MemberState::Leaving);
+    let later = start + Duration::from_secs(10);
+    members.observe_answer(&answer("a", 2), later, later);
+    assert_eq!(
+        members.state(&vm, later),
+        MemberState::Alive,
+        "a new run stays"
+    );
+    members.observe_list(&[(vm.clone(), true)], later);
+    assert_eq!(members.state(&vm, later), MemberState::Leaving);
+    members.observe_list(&[], later);
+    let silent = later + Duration::from_secs(10);
+    assert_eq!(members.state(&vm, silent), MemberState::Gone);
+}
+
+/// Guards against members that no router probes, and against load that grows with the fleet.
+#[test]
+fn each_member_of_a_large_fleet_has_three_probers_in_its_domain() {
+    let members: Vec<(VmId, VmId)> = (0..320)
+        .map(|index| {
+            (
+                format!("vm-{index}").into(),
+                format!("d{}", index % 8).into(),
+            )
+        })
+        .collect();
+    let mut probers = BTreeMap::<VmId, usize>::new();
+    for (vm, domain) in &members {
+        let chosen = neighbours(vm, domain, &members);
+        assert_eq!(chosen.len(), 5);
+        let domains: BTreeMap<_, _> = members.iter().cloned().collect();
+        for near in chosen.iter().filter(|other| domains[*other] == *domain) {
+            *probers.entry(near.clone()).or_default() += 1;
+        }
+    }
+    assert_eq!(probers.len(), 320);
+    assert!(probers.values().all(|count| *count == 3), "{probers:?}");
+}
+
+#[test]
+fn a_vm_that_leaves_moves_only_its_own_keys() {
+    let vms: BTreeSet<VmId> = (0..9).map(|index| format!("vm-{index}").into()).collect();
+    let left: BTreeSet<VmId> = vms.iter().filter(|vm| *vm != "vm-3").cloned().collect();
+    let mut moved = 0;
+    for key in (0..600).map(|index| format!("engine-{index}")) {
+        let (before, after) = (owner_of(&key, &vms), owner_of(&key, &left));
+        if before != after {
+            assert_eq!(before.unwrap(), "vm-3");
+            moved += 1;
+        }
+    }
+    assert!(moved > 0);
+}
--- a/crates/router/src/fleet/config.rs
+++ b/crates/router/src/fleet/config.rs
@@ -25,12 +25,7 @@
 
 /// Follows the configuration until the router stops.
 pub(super) async fn run(state: Arc<RouterState>) {
-    // Both sources are asked before the first answer counts: a router that restarts while the table
-    // is away must not take requests with an older revision than a peer in reach has.
-    let (table, ()) = tokio::join!(follow_table(&state), membership::probe_all(&state));
-    log_table(table);
-    follow_hints(&state).await;
-    state.fleet.follower_mut().finish_asking();
+    ask(&state).await;
     loop {
         let poll = if membership::present(&state).len() < FULL_MESH_LIMIT {
             POLL_INTERVAL
@@ -42,7 +37,11 @@
                 if !more {
                     return;
                 }
-                log_table(follow_table(&state).await);
+                if state.fleet.is_ready() {
+                    log_table(follow_table(&state).await);
+                } else {
+                    ask(&state).await;
+                }
             }
             () = state.fleet.hinted.notified() => {}
         }
@@ -50,6 +49,16 @@
     }
 }
 
+/// Asks the table and every peer in reach before the first answer counts: a router that restarts
+/// while the table is away must not take requests with an older revision than a peer in reach has.
+async fn ask(state: &Arc<RouterState>) {
+    state.fleet.follower_mut().begin_asking();
+    let (table, ()) = tokio::join!(follow_table(state), membership::probe_all(state));
+    log_table(table);
+    follow_hints(state).await;
+    state.fleet.follower_mut().finish_asking();
+}
+
 fn log_table(outcome: anyhow::Result<()>) {
     if let Err(error) = outcome {
         tracing::warn!(%error, "cannot read the configuration from the table; peers are asked");
