--- a/crates/core/tests/fleet_member.rs
+++ b/crates/core/tests/fleet_member.rs
@@ -1,5 +1,6 @@
 //! Guards against a proof of death for a run that can still spend, against messages of older runs
 //! that change what is known of a newer one, and against members that nobody probes.
+#![allow(clippy::unwrap_used, reason = "a test ends at the first error")]
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/crates/core/tests/fleet_order.rs
+++ b/crates/core/tests/fleet_order.rs
@@ -1,5 +1,6 @@
 //! Guards against stale orders that stay in effect, and against placements that differ from the
 //! declarations or move engines without need.
+#![allow(clippy::unwrap_used, reason = "a test ends at the first error")]
 
 use std::{
     collections::BTreeMap,
--- a/crates/core/tests/fleet_revision.rs
+++ b/crates/core/tests/fleet_revision.rs
@@ -1,5 +1,6 @@
 //! Guards against a configuration that reverts, skips a revision or differs between routers, and
 //! against records of an unknown schema that take effect.
+#![allow(clippy::unwrap_used, reason = "a test ends at the first error")]
 
 use {
     jasminewall_core::{
--- a/crates/core/tests/fleet_stop.rs
+++ b/crates/core/tests/fleet_stop.rs
@@ -1,4 +1,5 @@
 //! Guards against planned stops that leave too little capacity or that begin late.
+#![allow(clippy::unwrap_used, reason = "a test ends at the first error")]
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
