Settle dead runs by their owner and scale the periodic calls with the fleet

Cause: every router would have settled every dead run, once and without a retry, and a registration could go while an account of its run was open. Change: the rendezvous owner of a dead run settles it, again until it is done. A registration stays, marked as stopped, while the table has an account of the run. FleetIntervals holds all periods for small and large fleets.

--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -184,7 +184,7 @@
 struct RunEntry {
     registered: Instant,
     listed_after_lag: bool,
-    reported: bool,
+    settled: bool,
     proof: Option<DeathProof>,
 }
 
@@ -420,14 +420,13 @@
         self.members.get(&holder.vm)?.runs.get(&holder.boot)?.proof
     }
 
-    /// Runs that were proven dead since the last call.
-    pub fn take_dead(&mut self) -> Vec<(HolderId, DeathProof)> {
+    /// Runs that are proven dead and whose accounts were not noted as settled.
+    pub fn dead(&self) -> Vec<(HolderId, DeathProof)> {
         let mut dead = Vec::new();
-        for (vm, entry) in &mut self.members {
-            for (boot, run) in &mut entry.runs {
+        for (vm, entry) in &self.members {
+            for (boot, run) in &entry.runs {
                 let holder = HolderId::new(vm.clone(), *boot);
-                if let (Some(proof), false) = (run.proof, run.reported || holder == self.own) {
-                    run.reported = true;
+                if let (Some(proof), false) = (run.proof, run.settled || holder == self.own) {
                     dead.push((holder, proof));
                 }
             }
@@ -435,9 +434,23 @@
         dead
     }
 
-    /// Drops members that are gone and whose runs need no more attention.
-    pub fn forget(&mut self, vm: &VmId) {
-        self.members.remove(vm);
+    /// Notes that the account of a dead run needs no more attention.
+    pub fn note_settled(&mut self, holder: &HolderId) {
+        let entry = self.members.get_mut(&holder.vm);
+        if let Some(run) = entry.and_then(|entry| entry.runs.get_mut(&holder.boot)) {
+            run.settled = true;
+        }
+    }
+
+    /// Drops members that are gone and whose runs are all settled; a run that comes back is learned
+    /// again from its row or its answer.
+    pub fn prune(&mut self, now: Instant) {
+        let own = self.own.vm.clone();
+        self.members.retain(|vm, entry| {
+            *vm == own
+                || entry.state(now) != MemberState::Gone
+                || entry.runs.values().any(|run| !run.settled)
+        });
     }
 }
 
@@ -459,7 +472,7 @@
         let new = RunEntry {
             registered: now,
             listed_after_lag: false,
-            reported: false,
+            settled: false,
             proof: None,
         };
         let run = self.runs.entry(row.boot).or_insert(new);
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -18,7 +18,10 @@
 use {
     jasminewall_core::{
         BootId, ConfigState, DomainId, EndpointId, HolderId, Revision, VmId,
-        member::{DeathProof, LIST_LAG, MemberState, MemberTable, MemberView, neighbours},
+        member::{
+            DeathProof, FULL_MESH_LIMIT, LIST_LAG, MemberState, MemberTable, MemberView, neighbours,
+        },
+        order::REPAIR_INTERVAL,
         record::EndpointRecord,
         revision::{ConfigChange, ConfigFollower, DeltaOutcome},
         stop,
@@ -241,11 +244,13 @@
     }
 }
 
-/// Hands a proven death to the reclaim of its account.
+/// Hands a proven death to the reclaim of its account; says whether nothing is left to do.
 ///
-/// This is the only place that starts a reclaim; it calls `spend::reclaim` once that exists.
-pub(crate) fn reclaim_dead(_state: &RouterState, dead: &HolderId, proof: DeathProof) {
+/// Only the rendezvous owner of the dead VM calls it, again with each read of the VM list until it
+/// returns `true`. This is the only place that starts a reclaim: it is to call `spend::reclaim`.
+pub(crate) async fn reclaim_dead(_state: &RouterState, dead: &HolderId, proof: DeathProof) -> bool {
     tracing::info!(%dead, ?proof, "router run is proven dead; its account may be settled");
+    true
 }
 
 /// Addresses of the members that this router probes and pushes to.
@@ -264,6 +269,55 @@
     views.into_iter().filter(is_chosen).collect()
 }
 
+/// Times between the periodic calls of a router, by the size of the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetIntervals {
+    /// Between two probes of a neighbour.
+    pub probe: Duration,
+    /// Between two reads of the configuration head.
+    pub head: Duration,
+    /// Between two reads of the VM list.
+    pub list: Duration,
+    /// Between two reads of all registrations; those of VMs new on the list are read at once.
+    pub registrations: Duration,
+    /// Between two reads of all order rows; a router reads a row again whenever it changes it.
+    pub orders: Duration,
+}
+
+impl FleetIntervals {
+    /// Times for a fleet of today's size.
+    const SMALL: Self = Self {
+        probe: Duration::from_secs(1),
+        head: Duration::from_secs(2),
+        list: Duration::from_secs(5),
+        registrations: Duration::from_secs(5),
+        orders: REPAIR_INTERVAL,
+    };
+    /// Times for a larger fleet. With 320 routers and 600 engines they give 80 head reads, 171
+    /// registration reads and 320 order reads a second, and 8 KB of VM list every 30 s a router.
+    const LARGE: Self = Self {
+        probe: Duration::from_secs(1),
+        head: Duration::from_secs(4),
+        list: Duration::from_secs(30),
+        registrations: Duration::from_secs(600),
+        orders: Duration::from_secs(600),
+    };
+
+    /// Times for a number of routers.
+    pub fn of(routers: usize) -> Self {
+        if routers <= FULL_MESH_LIMIT {
+            Self::SMALL
+        } else {
+            Self::LARGE
+        }
+    }
+
+    /// Times for the fleet as this router sees it.
+    fn current(state: &RouterState) -> Self {
+        Self::of(membership::present(state).len() + 1)
+    }
+}
+
 /// Runs all fleet tasks until the router stops.
 pub(crate) async fn run(state: Arc<RouterState>) {
     let mut tasks = JoinSet::new();
--- a/crates/router/src/fleet/config.rs
+++ b/crates/router/src/fleet/config.rs
@@ -1,25 +1,20 @@
 //! Reads configuration revisions from the table and from peers.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc};
 
 use {
     futures_util::future::join_all,
     jasminewall_core::{
         Revision,
-        member::FULL_MESH_LIMIT,
         revision::{DeltaOutcome, HEAD_KEY, HeadRow, log_key},
     },
     tarpc::context,
     tokio::time::timeout,
 };
 
-use super::{PLATFORM_TIMEOUT, membership, neighbour_views, pause};
+use super::{FleetIntervals, PLATFORM_TIMEOUT, membership, neighbour_views, pause};
 use crate::{peer, state::RouterState};
 
-/// Time between two reads of the configuration head in a fleet of today's size.
-const POLL_INTERVAL: Duration = Duration::from_secs(2);
-/// Time between two reads of the head in a larger fleet, which keeps 320 routers at 80 reads/s.
-const POLL_INTERVAL_LARGE: Duration = Duration::from_secs(4);
 /// Prefix of the rows of all revisions.
 const LOG_PREFIX: &str = "config/log/";
 
@@ -27,11 +22,7 @@
 pub(super) async fn run(state: Arc<RouterState>) {
     ask(&state).await;
     loop {
-        let poll = if membership::present(&state).len() < FULL_MESH_LIMIT {
-            POLL_INTERVAL
-        } else {
-            POLL_INTERVAL_LARGE
-        };
+        let poll = FleetIntervals::current(&state).head;
         tokio::select! {
             more = pause(&state, poll) => {
                 if !more {
--- a/crates/router/src/fleet/membership.rs
+++ b/crates/router/src/fleet/membership.rs
@@ -12,8 +12,8 @@
     jasminewall_core::{
         BootId, HolderId, VmId,
         member::{
-            FULL_MESH_LIMIT, MemberState, MemberView, ProbeAnswer, REGISTRATION_PREFIX,
-            RegistrationRow, registration_key,
+            MemberState, MemberView, ProbeAnswer, REGISTRATION_PREFIX, RegistrationRow, owner_of,
+            registration_key,
         },
     },
     jasminewall_platform::VmState,
@@ -23,20 +23,11 @@
     tokio::time::timeout,
 };
 
-use super::{PLATFORM_TIMEOUT, neighbour_views, pause, reclaim_dead};
+use super::{FleetIntervals, PLATFORM_TIMEOUT, neighbour_views, pause, reclaim_dead};
 use crate::{peer, state::RouterState};
 
-/// Time between two probes of a peer.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest wait for the answer to a probe, under the interval so that rounds do not overlap.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time between two reads of the VM list in a fleet of today's size.
-const LIST_INTERVAL: Duration = Duration::from_secs(5);
-/// Time between two reads of the VM list in a larger fleet: 8 KB for 320 VMs each time.
-const LIST_INTERVAL_LARGE: Duration = Duration::from_secs(30);
-/// Time between two reads of all registrations in a larger fleet: 320 rows by 320 routers are 170
-/// row reads a second. Registrations of VMs that are new on the list are read at once.
-const ROWS_INTERVAL_LARGE: Duration = Duration::from_secs(600);
 /// Most notices that one probe carries.
 const NOTICE_LIMIT: usize = 8;
 
@@ -49,17 +40,16 @@
 
 /// Probes neighbours each second until the router stops.
 pub(super) async fn run_probes(state: Arc<RouterState>) {
-    while pause(&state, PROBE_INTERVAL).await {
+    while pause(&state, FleetIntervals::current(&state).probe).await {
         let mut targets: BTreeSet<SocketAddr> = unknown_seeds(&state).into_iter().collect();
         targets.extend(neighbour_views(&state).iter().map(|view| view.address));
         join_all(targets.into_iter().map(|address| probe(&state, address))).await;
-        report_deaths(&state);
     }
 }
 
 /// Probes every known address once.
 pub(super) async fn probe_all(state: &Arc<RouterState>) {
-    let mut targets: BTreeSet<SocketAddr> = state.setting.peers.iter().copied().collect();
+    let mut targets: BTreeSet<SocketAddr> = seeds(state).collect();
     targets.extend(present(state).iter().map(|view| view.address));
     join_all(targets.into_iter().map(|address| probe(state, address))).await;
 }
@@ -73,9 +63,16 @@
         .iter()
         .map(|view| view.address)
         .collect();
-    let mut seeds = state.setting.peers.clone();
-    seeds.retain(|address| !known.contains(address));
-    seeds
+    seeds(state)
+        .filter(|address| !known.contains(address))
+        .collect()
+}
+
+/// Addresses of other routers in the settings, which may list this router as well.
+fn seeds(state: &RouterState) -> impl Iterator<Item = SocketAddr> {
+    let own = state.setting.peer_listen;
+    let peers = state.setting.peers.iter().copied();
+    peers.filter(move |address| *address != own)
 }
 
 /// Probes one peer, on a new connection when the kept one is broken or silent.
@@ -165,8 +162,11 @@
         if let Err(error) = read_list(&state).await {
             tracing::warn!(%error, "cannot read the VM list; the last one stays in use");
         }
-        let large = present(&state).len() >= FULL_MESH_LIMIT;
-        let due = rows_read.is_none_or(|at| !large || at.elapsed() >= ROWS_INTERVAL_LARGE);
+        let intervals = FleetIntervals::current(&state);
+        // The row reads keep step with the list in a small fleet.
+        let due = rows_read.is_none_or(|at| {
+            intervals.registrations <= intervals.list || at.elapsed() >= intervals.registrations
+        });
         let rows = if due {
             read_all_rows(&state).await
         } else {
@@ -177,13 +177,9 @@
             Ok(()) => {}
             Err(error) => tracing::warn!(%error, "cannot read the registrations"),
         }
-        report_deaths(&state);
-        let wait = if large {
-            LIST_INTERVAL_LARGE
-        } else {
-            LIST_INTERVAL
-        };
-        if !pause(&state, wait).await {
+        settle_deaths(&state).await;
+        state.fleet.members().prune(Instant::now());
+        if !pause(&state, intervals.list).await {
             return;
         }
     }
@@ -232,10 +228,21 @@
     }
 }
 
-fn report_deaths(state: &RouterState) {
-    let dead = state.fleet.members().take_dead();
+/// Has the accounts of dead runs settled that this router owns by rendezvous.
+async fn settle_deaths(state: &RouterState) {
+    let (dead, candidates) = {
+        let members = state.fleet.members();
+        let domain = &state.setting.failure_domain;
+        (members.dead(), members.candidates(domain, Instant::now()))
+    };
     for (holder, proof) in dead {
-        reclaim_dead(state, &holder, proof);
+        let vms = candidates.iter().map(|(vm, _)| vm);
+        if owner_of(&holder.to_string(), vms) != Some(&state.holder.vm) {
+            continue;
+        }
+        if reclaim_dead(state, &holder, proof).await {
+            state.fleet.members().note_settled(&holder);
+        }
     }
 }
 
--- a/crates/router/src/fleet/placement.rs
+++ b/crates/router/src/fleet/placement.rs
@@ -16,7 +16,7 @@
     },
     jasminewall_core::{
         ConfigRecord, ConfigState, EndpointId,
-        member::{FULL_MESH_LIMIT, owner_of},
+        member::owner_of,
         order::{
             EngineOrder, EngineReport, ModelVersion, ORDER_VALIDITY, OrderRow, PendingOrder,
             PlacementChoice, PlacementInput, REPAIR_INTERVAL, RepairStep, compare, order_key,
@@ -28,7 +28,7 @@
     tokio::time::timeout,
 };
 
-use super::{PLATFORM_TIMEOUT, membership, pause, takes_work};
+use super::{FleetIntervals, PLATFORM_TIMEOUT, pause, takes_work};
 use crate::state::RouterState;
 
 /// Path of the order interface of an engine.
@@ -39,10 +39,6 @@
 const ANSWER_LIMIT: usize = 64 << 10;
 /// Prefix of all order rows.
 const ORDER_PREFIX: &str = "order/";
-/// Time between two reads of all order rows in a larger fleet: 600 rows by 320 routers are 320 row
-/// reads a second.
-const ROWS_INTERVAL_LARGE: Duration = Duration::from_secs(600);
-
 /// Order rows as last read.
 #[derive(Default)]
 struct OrderTable {
@@ -130,8 +126,9 @@
     }
 
     async fn read_rows(&mut self) -> anyhow::Result<()> {
-        let large = membership::present(&self.state).len() >= FULL_MESH_LIMIT;
-        let recent = |at: Instant| large && at.elapsed() < ROWS_INTERVAL_LARGE;
+        let interval = FleetIntervals::current(&self.state).orders;
+        // The scan keeps step with the rounds in a small fleet.
+        let recent = |at: Instant| interval > REPAIR_INTERVAL && at.elapsed() < interval;
         if self.orders.read.is_some_and(recent) {
             return Ok(());
         }
@@ -210,17 +207,18 @@
         let key = order_key(&next.endpoint);
         let table = self.state.ports.table.as_ref();
         let write = RowWrite::replace(key.clone(), version, serde_json::to_string(next)?);
-        // Whatever happens to the answer, the cached row is outdated from here on.
-        self.orders.read = None;
+        // The stored row tells what took effect, whatever happened to the answer.
         let outcome = timeout(PLATFORM_TIMEOUT, table.transact(vec![write])).await?;
-        if matches!(outcome, Ok(TransactOutcome::Conflict)) {
-            return Ok(false);
-        }
         let row = timeout(PLATFORM_TIMEOUT, table.read(&key)).await??;
         let Some(row) = row else {
+            self.orders.rows.remove(&next.endpoint);
             return Ok(false);
         };
-        Ok(serde_json::from_str::<OrderRow>(&row.value)? == *next)
+        let stored: OrderRow = serde_json::from_str(&row.value)?;
+        let own = stored == *next && !matches!(outcome, Ok(TransactOutcome::Conflict));
+        let entry = (row.version, stored);
+        self.orders.rows.insert(next.endpoint.clone(), entry);
+        Ok(own)
     }
 
     async fn send(&self, engine: &EndpointRecord, order: &EngineOrder) -> anyhow::Result<()> {
--- a/crates/router/src/fleet/register.rs
+++ b/crates/router/src/fleet/register.rs
@@ -6,7 +6,10 @@
 };
 
 use {
-    jasminewall_core::member::{RegistrationRow, registration_key},
+    jasminewall_core::{
+        budget::grant_key,
+        member::{RegistrationRow, registration_key},
+    },
     jasminewall_platform::{RowWrite, TableRow, TransactOutcome},
     tokio::time::timeout,
 };
@@ -84,8 +87,8 @@
 
 /// Removes the registration of a run whose account is closed.
 ///
-/// The row goes when it names no earlier run. Otherwise it stays, marked as stopped: it is the proof
-/// that the earlier runs were replaced, which a reclaimer may still need.
+/// The row goes when nothing refers to it. It stays, marked as stopped, while it is the proof that
+/// earlier runs were replaced, or that this run ended with part of its account open.
 ///
 /// # Errors
 ///
@@ -97,7 +100,7 @@
     if registration.boot != state.holder.boot {
         return Ok(());
     }
-    let write = if registration.earlier.is_empty() {
+    let write = if registration.earlier.is_empty() && !has_account(state).await? {
         RowWrite::delete(row.key, row.version)
     } else {
         registration.stopped = true;
@@ -108,6 +111,18 @@
     Ok(())
 }
 
+/// Whether the table has a grant account of this run.
+async fn has_account(state: &RouterState) -> anyhow::Result<bool> {
+    for shard in 0..state.setting.shards {
+        let key = grant_key(shard, &state.holder);
+        let row = timeout(PLATFORM_TIMEOUT, state.ports.table.read(&key)).await??;
+        if row.is_some() {
+            return Ok(true);
+        }
+    }
+    Ok(false)
+}
+
 async fn read(state: &RouterState) -> anyhow::Result<Option<(TableRow, RegistrationRow)>> {
     let key = registration_key(&state.holder.vm);
     let row = timeout(PLATFORM_TIMEOUT, state.ports.table.read(&key)).await??;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -23,7 +23,7 @@
 
 pub use crate::{
     embed::EmbedFleet,
-    fleet::VersionReport,
+    fleet::{FleetIntervals, VersionReport},
     setting::RouterSetting,
     state::{RouterHandle, RouterState, StopPlan},
 };
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -19,8 +19,9 @@
 
 pub use crate::{
     peer::{
-        CloseReply, PeerService, PeerServiceClient, ProbeReply, ProbeRequest, ServePeerService,
-        SettleRequest, SuspectReport, TransferReply, TransferRequest,
+        CloseReply, PeerService, PeerServiceClient, PeerServiceRequest, PeerServiceResponse,
+        ProbeReply, ProbeRequest, ServePeerService, SettleRequest, SuspectReport, TransferReply,
+        TransferRequest,
     },
-    seal::{FRAME_LIMIT, SealedCodec, SealedTransport, accept, connect},
+    seal::{FRAME_LIMIT, SealedCodec, SealedTransport, accept, connect, frame_size},
 };
--- a/crates/wire/src/seal.rs
+++ b/crates/wire/src/seal.rs
@@ -37,6 +37,9 @@
 /// RFC 2104 allows and which keeps probes small.
 const TAG_LENGTH: usize = 16;
 
+/// Length of the length field of a frame, in bytes.
+const LENGTH_SIZE: usize = 4;
+
 type FrameMac = Hmac<Sha256>;
 
 /// Codec that authenticates frames of one connection.
@@ -195,6 +198,17 @@
     }
 }
 
+/// Size of a message on the wire, in bytes: length, encoding and authentication code.
+///
+/// # Errors
+///
+/// When the message is larger than a frame may be.
+pub fn frame_size(message: &impl Serialize) -> io::Result<u64> {
+    let size = encoding().serialized_size(message);
+    let size = size.map_err(io::Error::other)?;
+    Ok(size + (LENGTH_SIZE + TAG_LENGTH) as u64)
+}
+
 /// Encoding of messages: integers take as few bytes as their value needs.
 fn encoding() -> impl Options {
     bincode::DefaultOptions::new().with_limit(FRAME_LIMIT as u64)
