--- a/crates/router/src/api/relay.rs
+++ b/crates/router/src/api/relay.rs
@@ -14,7 +14,10 @@
     jasminewall_core::{Refusal, RefusalCode, RequestId, Tokens, token::ResumeToken},
     serde::Deserialize,
     serde_json::Value,
-    tokio::time::{Instant, timeout, timeout_at},
+    tokio::{
+        runtime::Handle,
+        time::{Instant, timeout, timeout_at},
+    },
 };
 
 use super::{
@@ -105,16 +108,21 @@
         if self.settled {
             return;
         }
+        // There is no runtime any more when the process itself ends; the engine's list remains.
+        let Ok(runtime) = Handle::try_current() else {
+            return;
+        };
         let api = self.api.clone();
         let caller = self.caller.clone();
         let stream = self.stream.clone();
         let address = std::mem::take(&mut self.address);
         let target = self.target.clone();
-        self.api.tracker.spawn(async move {
+        let task = async move {
             let end = RequestEnd::Cancelled;
             let charged = cancel_and_charge(&api, &caller, &address, &stream, &target, end).await;
             tracing::info!(request = %stream, charged, "the caller left the stream; it was cancelled");
-        });
+        };
+        self.api.tracker.spawn_on(task, &runtime);
     }
 }
 
@@ -367,6 +375,8 @@
         let charged = charge.cancel(RequestEnd::Ran).await;
         let refusal = Refusal::new(failure).charged(charged);
         yield Ok(error_event(&charge, &refusal));
+        // hyper flushes what it has while the body is pending and drops it when the body fails.
+        tokio::task::yield_now().await;
         // The connection is cut, so that no client takes the answer for a whole one.
         yield Err(io::Error::other("the engine stream broke off"));
     }
--- a/crates/router/src/api/tickets.rs
+++ b/crates/router/src/api/tickets.rs
@@ -98,14 +98,17 @@
         let mut used = self.lock();
         if let Some(entry) = used.entries.get(&ticket.id) {
             if entry.fingerprint != fingerprint {
-                return Err(RefusalCode::KeyReused.into());
+                return Err(Refusal::new(RefusalCode::KeyReused)
+                    .note("The ticket was used with a different request; get a new ticket."));
             }
             return match &entry.state {
-                TicketState::Running => Err(RefusalCode::KeyInProgress.into()),
+                TicketState::Running => Err(Refusal::new(RefusalCode::KeyInProgress)
+                    .note("The request of this ticket is still running; ask again later.")),
                 TicketState::Ran(answer) => Ok(Some(answer.clone())),
                 TicketState::RanUnkept => Err(Refusal::new(RefusalCode::MayHaveRun)
                     .note("The request of this ticket ran; its answer is no longer kept.")),
-                TicketState::Unknown => Err(RefusalCode::MayHaveRun.into()),
+                TicketState::Unknown => Err(Refusal::new(RefusalCode::MayHaveRun)
+                    .note("The request of this ticket may have run; it will not be run again.")),
             };
         }
         let until = self.started + Duration::from_millis(ticket.until_ms);
--- a/crates/router/src/embed.rs
+++ b/crates/router/src/embed.rs
@@ -33,6 +33,8 @@
 const RIVAL_KEY_SHA256: &str = "f4e4fd78e1012c33cc2ff5257090be00ad129ff39dd3d46247b62832c3d02eeb";
 /// Budget shards of the sample fleet.
 const SHARDS: u32 = 4;
+/// Times that a start is tried: another process may take a port that was found free.
+const START_ATTEMPTS: u32 = 4;
 /// Failure domains of the sample fleet.
 const DOMAINS: [&str; 3] = ["domain-a", "domain-b", "domain-c"];
 
@@ -63,6 +65,17 @@
     ///
     /// When a port cannot be bound.
     pub async fn start_with(ip: IpAddr, limits: CallerLimits) -> Result<Self> {
+        let mut attempts = START_ATTEMPTS;
+        loop {
+            attempts -= 1;
+            match Self::try_start(ip, limits).await {
+                Err(error) if attempts > 0 => tracing::warn!(%error, "started again"),
+                result => return result,
+            }
+        }
+    }
+
+    async fn try_start(ip: IpAddr, limits: CallerLimits) -> Result<Self> {
         let platform = MemoryPlatform::new();
         let mut tasks = JoinSet::new();
         let platform_listener = TcpListener::bind((ip, 0)).await?;
@@ -71,9 +84,9 @@
             platform.clone(),
             platform_listener,
         ));
-        let text = sample_declarations(ip)?;
+        let (text, listeners) = sample_declarations(ip).await?;
         let records = record::from_str(&text).context("sample declarations")?;
-        start_endpoints(&records, &mut tasks).await?;
+        start_endpoints(&records, listeners, &mut tasks).await?;
         apply_records(&platform.ports(), records, SHARDS).await?;
         let peer_addresses = free_addresses(ip, DOMAINS.len())?;
         let mut routers = Vec::new();
@@ -181,7 +194,7 @@
             .await
             .with_context(|| format!("cannot bind {}", setting.platform))?;
         let platform_address = listener.local_addr()?;
-        let endpoints = start_endpoints(&records, &mut tasks).await?;
+        let endpoints = start_endpoints(&records, BTreeMap::new(), &mut tasks).await?;
         apply_records(&platform.ports(), records, setting.shards).await?;
         for vm in &setting.vms {
             platform.set_vm(vm, Some(VmState::Live));
@@ -201,11 +214,14 @@
     }
 }
 
+/// Bound listeners of endpoints by name.
+type EndpointListeners = BTreeMap<String, TcpListener>;
+
 /// Two model engines and one plain service of each kind a failure domain, on free ports.
-fn sample_declarations(ip: IpAddr) -> Result<String> {
+async fn sample_declarations(ip: IpAddr) -> Result<(String, EndpointListeners)> {
     let mut text = String::from("schema = 2\n");
     let mut names = [Vec::new(), Vec::new(), Vec::new()];
-    let mut addresses = free_addresses(ip, DOMAINS.len() * 4)?.into_iter();
+    let mut listeners = EndpointListeners::new();
     for domain in DOMAINS {
         let letter = &domain["domain-".len()..];
         let endpoints = [
@@ -214,7 +230,10 @@
             (1, format!("catalogue-{letter}"), "plain_service"),
             (2, format!("orders-{letter}"), "plain_service"),
         ];
-        for ((route, name, runs), address) in endpoints.into_iter().zip(&mut addresses) {
+        for (route, name, runs) in endpoints {
+            let listener = TcpListener::bind((ip, 0)).await?;
+            let address = listener.local_addr()?;
+            listeners.insert(name.clone(), listener);
             text.push_str(&format!(
                 "[[endpoint]]\nname = \"{name}\"\nruns = \"{runs}\"\naddress = \"{address}\"\n\
                  failure_domain = \"{domain}\"\nlists_streams = {}\n",
@@ -235,12 +254,13 @@
          [[top_up]]\nname = \"parish-first\"\nbudget = \"parish-2026\"\namount = 1000000\n\
          [[top_up]]\nname = \"workshop-first\"\nbudget = \"workshop-2026\"\namount = 1000000\n"
     ));
-    Ok(text)
+    Ok((text, listeners))
 }
 
 /// Serves a stand-in for each declared endpoint at its address; returns names and addresses.
 async fn start_endpoints(
     records: &[ConfigRecord],
+    mut listeners: EndpointListeners,
     tasks: &mut JoinSet<std::io::Result<()>>,
 ) -> Result<Vec<(String, String)>> {
     let mut started = Vec::new();
@@ -248,14 +268,17 @@
         let ConfigRecord::Endpoint(endpoint) = record else {
             continue;
         };
-        let listener = TcpListener::bind(endpoint.address.as_str())
-            .await
-            .with_context(|| {
-                format!(
-                    "endpoint {}: cannot bind {}",
-                    endpoint.name, endpoint.address
-                )
-            })?;
+        let listener = match listeners.remove(endpoint.name.as_str()) {
+            Some(listener) => listener,
+            None => TcpListener::bind(endpoint.address.as_str())
+                .await
+                .with_context(|| {
+                    format!(
+                        "endpoint {}: cannot bind {}",
+                        endpoint.name, endpoint.address
+                    )
+                })?,
+        };
         match endpoint.runs {
             EndpointKind::ModelEngine => {
                 let models: Vec<&str> = records
--- /dev/null
+++ b/crates/testkit/tests/caller_completions.rs
@@ -0,0 +1,357 @@
+//! Guards against answers that are incomplete, repeated or of another request, and against
+//! charges that are missing, repeated or for another amount.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a failed step of a helper ends the test"
+)]
+
+use std::{net::SocketAddr, time::Duration};
+
+use {
+    bytes::Bytes,
+    http_body_util::BodyExt,
+    hyper::{Method, Response, body::Incoming},
+    jasminewall_core::{ConfigRecord, record},
+    jasminewall_platform::{MemoryPlatform, ObjectPort, TablePort},
+    jasminewall_router::{EmbedFleet, RouterHandle, RouterSetting},
+    jasminewall_testkit::caller::{
+        CallerClient, CallerReply, RIVAL_KEY, charged_total, completion, start_fleet, wait_ready,
+    },
+    serde_json::{Value, json},
+};
+
+const PATH: &str = "/v1/chat/completions";
+
+async fn start() -> (EmbedFleet, CallerClient) {
+    let fleet = start_fleet(Default::default()).await.unwrap();
+    let client = CallerClient::new(fleet.routers[0].address);
+    (fleet, client)
+}
+
+/// Stops the fleet, which commits all charges, and returns their sum.
+async fn stop(fleet: EmbedFleet) -> u64 {
+    let platform = fleet.platform.clone();
+    fleet.stop().await;
+    charged_total(&platform).await.unwrap()
+}
+
+fn data_lines(text: &str) -> Vec<&str> {
+    let lines = text.lines();
+    lines
+        .filter_map(|line| line.strip_prefix("data: "))
+        .collect()
+}
+
+/// Indexes of the tokens in a stream; the stand-in writes `engine:index` for each.
+fn token_indexes(text: &str) -> Vec<u64> {
+    let chunks = data_lines(text)
+        .into_iter()
+        .filter(|line| line.starts_with('{'));
+    let chunks = chunks.map(|line| serde_json::from_str::<Value>(line).unwrap());
+    let texts = chunks.filter_map(|chunk| {
+        let text = chunk["choices"][0]["delta"]["content"].as_str()?;
+        Some(text.trim().rsplit(':').next()?.parse().unwrap())
+    });
+    texts.collect()
+}
+
+/// Addresses of the model engines of the sample fleet.
+async fn engines(platform: &MemoryPlatform) -> Vec<SocketAddr> {
+    let log = platform.scan("config/log/").await.unwrap();
+    let text: Value = serde_json::from_str(&log[0].value).unwrap();
+    let changes = text["changes"].as_array().unwrap().clone();
+    let records = changes
+        .into_iter()
+        .map(|change| serde_json::from_value(change["put"].clone()));
+    records
+        .filter_map(|record| match record.unwrap() {
+            ConfigRecord::Endpoint(endpoint)
+                if endpoint.runs == record::EndpointKind::ModelEngine =>
+            {
+                Some(endpoint.address.parse().unwrap())
+            }
+            _ => None,
+        })
+        .collect()
+}
+
+/// What the engines say of one stream.
+async fn stream_at_engine(platform: &MemoryPlatform, request: &str) -> Value {
+    for address in engines(platform).await {
+        let engine = CallerClient::new(address);
+        let list = engine
+            .send(Method::GET, "/v1/streams", &[], "")
+            .await
+            .unwrap()
+            .json();
+        for stream in list["streams"].as_array().unwrap() {
+            if stream["request"] == request {
+                return stream.clone();
+            }
+        }
+    }
+    Value::Null
+}
+
+async fn next_data(response: &mut Response<Incoming>) -> Option<Bytes> {
+    let frame = response.body_mut().frame().await?.ok()?;
+    frame.into_data().ok()
+}
+
+#[tokio::test]
+async fn streamed_usage_is_sent_only_when_asked_for() {
+    let (fleet, client) = start().await;
+    let plain = client.complete(&json!({"stream": true})).await.unwrap();
+    let asked = json!({"stream": true, "stream_options": {"include_usage": true}});
+    let asked = client.complete(&asked).await.unwrap();
+    assert!(!plain.text().contains("\"usage\""));
+    let lines = asked.text();
+    let lines = data_lines(&lines);
+    assert_eq!(
+        lines
+            .iter()
+            .filter(|line| line.contains("\"usage\""))
+            .count(),
+        1
+    );
+    assert!(lines[lines.len() - 2].contains("\"total_tokens\":10"));
+    for reply in [plain, asked] {
+        let text = reply.text();
+        assert_eq!(token_indexes(&text), (0..8).collect::<Vec<_>>());
+        let (_, end) = text.split_once(": x-jasminewall-charged=10 ").unwrap();
+        assert!(end.ends_with("\n\ndata: [DONE]\n\n"), "{end}");
+        assert_eq!(text.matches("[DONE]").count(), 1);
+        assert!(!reply.header("x-jasminewall-request").is_empty());
+        assert!(!reply.header("x-jasminewall-resume").is_empty());
+    }
+    assert_eq!(stop(fleet).await, 20);
+}
+
+#[tokio::test]
+async fn endpoint_errors_pass_and_cost_only_reported_usage() {
+    let (fleet, client) = start().await;
+    for stream in [false, true] {
+        let failed = json!({"stream": stream, "standin": {"status": 500}});
+        let failed = client.complete(&failed).await.unwrap();
+        assert_eq!(
+            (failed.status, failed.header("x-jasminewall-charged")),
+            (500, "0")
+        );
+        assert_eq!(failed.json()["error"]["code"], "standin");
+        let used = json!({"stream": stream, "standin": {"status": 503, "usage": 7}});
+        let used = client.complete(&used).await.unwrap();
+        assert_eq!(
+            (used.status, used.header("x-jasminewall-charged")),
+            (503, "7")
+        );
+    }
+    assert_eq!(stop(fleet).await, 14);
+}
+
+#[tokio::test]
+async fn leaving_a_stream_cancels_it_and_bills_what_was_generated() {
+    let (fleet, client) = start().await;
+    let body = completion(&json!({"stream": true, "max_tokens": 900})).to_string();
+    let mut response = client.open(Method::POST, PATH, &[], body).await.unwrap();
+    let request = response.headers()["x-jasminewall-request"]
+        .to_str()
+        .unwrap()
+        .to_owned();
+    for _ in 0..3 {
+        next_data(&mut response).await.unwrap();
+    }
+    drop(response);
+    drop(client);
+    let mut stream = Value::Null;
+    for _ in 0..100 {
+        stream = stream_at_engine(&fleet.platform, &request).await;
+        if stream["state"] != "running" {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(stream["state"], "cancelled");
+    let used = stream["usage"]["total_tokens"].as_u64().unwrap();
+    assert!((5..900).contains(&used), "{used}");
+    assert_eq!(stop(fleet).await, used);
+}
+
+#[tokio::test]
+async fn leaving_a_whole_answer_is_still_billed() {
+    let (fleet, client) = start().await;
+    let body = json!({"max_tokens": 40});
+    let left = tokio::time::timeout(Duration::from_millis(50), client.complete(&body)).await;
+    assert!(left.is_err());
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(stop(fleet).await, 42);
+}
+
+#[tokio::test]
+async fn answers_of_other_requests_are_withheld() {
+    let (fleet, client) = start().await;
+    let foreign = json!({"standin": {"id": "jw-vm-9-0000000000000001"}});
+    let whole = client.complete(&foreign).await.unwrap();
+    assert_eq!(
+        (whole.status, whole.code().as_str()),
+        (502, "answer_invalid")
+    );
+    let mut foreign = completion(&foreign);
+    foreign["stream"] = json!(true);
+    let mut response = client
+        .open(Method::POST, PATH, &[], foreign.to_string())
+        .await
+        .unwrap();
+    let mut text = String::new();
+    while let Some(data) = next_data(&mut response).await {
+        text.push_str(&String::from_utf8_lossy(&data));
+    }
+    assert!(text.contains("answer_invalid"), "{text}");
+    assert!(
+        !text.contains("\"content\"") && !text.contains("[DONE]"),
+        "{text}"
+    );
+    fleet.stop().await;
+}
+
+#[tokio::test]
+async fn repeated_events_and_streams_reach_the_caller_once() {
+    let (fleet, client) = start().await;
+    let twice = json!({"stream": true, "standin": {"twice": true}});
+    let text = client.complete(&twice).await.unwrap().text();
+    assert_eq!(token_indexes(&text), (0..8).collect::<Vec<_>>());
+    assert_eq!(text.matches("[DONE]").count(), 1);
+    assert_eq!(stop(fleet).await, 10);
+}
+
+#[tokio::test]
+async fn broken_stream_continues_without_a_second_run() {
+    let (fleet, client) = start().await;
+    let cut = json!({"stream": true, "standin": {"cut_after": 3}});
+    let text = client.complete(&cut).await.unwrap().text();
+    assert_eq!(token_indexes(&text), (0..8).collect::<Vec<_>>());
+    assert!(text.ends_with("data: [DONE]\n\n"));
+    assert_eq!(stop(fleet).await, 10);
+}
+
+#[tokio::test]
+async fn lost_stream_never_looks_whole() {
+    let (fleet, client) = start().await;
+    let lost = completion(&json!({"stream": true, "standin": {"cut_after": 3, "forget": true}}));
+    let mut response = client
+        .open(Method::POST, PATH, &[], lost.to_string())
+        .await
+        .unwrap();
+    let mut text = String::new();
+    let whole = loop {
+        match response.body_mut().frame().await {
+            Some(Ok(frame)) => text.push_str(&String::from_utf8_lossy(frame.data_ref().unwrap())),
+            Some(Err(_)) => break false,
+            None => break true,
+        }
+    };
+    assert!(!whole, "the body ended as if it were whole");
+    assert!(
+        text.contains("outcome_unknown") && !text.contains("[DONE]"),
+        "{text}"
+    );
+    fleet.stop().await;
+}
+
+async fn resume(client: &CallerClient, token: &str, last: &str) -> CallerReply {
+    let headers = [("x-jasminewall-resume", token), ("last-event-id", last)];
+    let body = completion(&json!({"stream": true, "max_tokens": 100})).to_string();
+    client
+        .send(Method::POST, PATH, &headers, body)
+        .await
+        .unwrap()
+}
+
+/// Opens a stream of 100 tokens and reads until it has event 2; returns its token and request.
+async fn open_stream(client: &CallerClient) -> (Response<Incoming>, String, String) {
+    let body = completion(&json!({"stream": true, "max_tokens": 100})).to_string();
+    let mut response = client.open(Method::POST, PATH, &[], body).await.unwrap();
+    let header = |name: &str| response.headers()[name].to_str().unwrap().to_owned();
+    let (token, request) = (
+        header("x-jasminewall-resume"),
+        header("x-jasminewall-request"),
+    );
+    let mut text = String::new();
+    while !text.contains("id: 2\n") {
+        let data = next_data(&mut response).await.unwrap();
+        text.push_str(&String::from_utf8_lossy(&data));
+    }
+    (response, token, request)
+}
+
+#[tokio::test]
+async fn resumed_stream_is_billed_once_by_its_holder() {
+    let (fleet, client) = start().await;
+    // The peer probe runs every second; the second router must know the first.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let (mut response, token, _) = open_stream(&client).await;
+    let other = CallerClient::new(fleet.routers[1].address);
+    let rest = resume(&other, &token, "2").await;
+    assert_eq!(token_indexes(&rest.text()), (3..100).collect::<Vec<_>>());
+    assert!(
+        rest.text().contains("x-jasminewall-charged=102 "),
+        "{}",
+        rest.text()
+    );
+    while next_data(&mut response).await.is_some() {}
+    let rival = CallerClient::with_key(fleet.routers[1].address, RIVAL_KEY);
+    assert_eq!(resume(&rival, &token, "2").await.code(), "resume_invalid");
+    let forged = token.replace('.', "0.");
+    assert_eq!(resume(&other, &forged, "2").await.code(), "resume_invalid");
+    let objects = ObjectPort::list(&fleet.platform, "evidence/")
+        .await
+        .unwrap();
+    assert_eq!(objects, Vec::<String>::new());
+    assert_eq!(stop(fleet).await, 102);
+}
+
+#[test]
+fn stream_survives_the_crash_of_its_router() {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let crashing = tokio::runtime::Runtime::new().unwrap();
+    let (fleet, holder, response, token, request) = runtime.block_on(async {
+        let (fleet, _) = start().await;
+        let setting = RouterSetting {
+            vm: "vm-crash".into(),
+            listen: "127.0.0.1:0".parse().unwrap(),
+            peer_listen: "127.0.0.1:0".parse().unwrap(),
+            ..fleet.routers[0].state.setting.clone()
+        };
+        let ports = fleet.platform.ports();
+        let started = crashing.spawn(RouterHandle::start(setting, ports));
+        let router = started.await.unwrap().unwrap();
+        wait_ready(&router.state).await.unwrap();
+        let (response, token, request) = open_stream(&CallerClient::new(router.address)).await;
+        (fleet, router.state.holder.clone(), response, token, request)
+    });
+    // Ends all tasks of the router at once, with the stream open.
+    crashing.shutdown_background();
+    runtime.block_on(async {
+        drop(response);
+        let client = CallerClient::new(fleet.routers[0].address);
+        let rest = resume(&client, &token, "2").await;
+        assert_eq!(rest.status, 200, "{}", rest.text());
+        assert_eq!(token_indexes(&rest.text()), (3..100).collect::<Vec<_>>());
+        let key = format!("evidence/{holder}/{request}");
+        let mut evidence = None;
+        for _ in 0..100 {
+            evidence = fleet.platform.get(&key).await.unwrap();
+            if evidence.is_some() {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let evidence: Value = serde_json::from_slice(&evidence.unwrap()).unwrap();
+        assert_eq!(evidence["tokens"], 102);
+        assert_eq!(
+            stream_at_engine(&fleet.platform, &request).await["state"],
+            "ended"
+        );
+        fleet.stop().await;
+    });
+}
--- /dev/null
+++ b/crates/testkit/tests/caller_services.rs
@@ -0,0 +1,346 @@
+//! Guards against a non-idempotent request that runs twice, a retry that learns something untrue,
+//! and calls of plain services that leak, overrun or cost something else than their price.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a failed step of a helper ends the test"
+)]
+
+use std::{collections::BTreeSet, time::Duration};
+
+use {
+    hyper::Method,
+    jasminewall_platform::FaultPlan,
+    jasminewall_router::{EmbedFleet, RouterHandle, RouterSetting},
+    jasminewall_testkit::caller::{
+        CallerClient, CallerReply, RIVAL_KEY, charged_total, start_fleet, wait_ready,
+    },
+    serde_json::json,
+};
+
+async fn start() -> (EmbedFleet, Vec<CallerClient>) {
+    let fleet = start_fleet(Default::default()).await.unwrap();
+    let clients = fleet
+        .routers
+        .iter()
+        .map(|router| CallerClient::new(router.address));
+    let clients = clients.collect();
+    (fleet, clients)
+}
+
+async fn stop(fleet: EmbedFleet) -> u64 {
+    let platform = fleet.platform.clone();
+    fleet.stop().await;
+    charged_total(&platform).await.unwrap()
+}
+
+async fn order(client: &CallerClient, key: &str, query: &str, body: &'static str) -> CallerReply {
+    let path = format!("/svc/orders/windows{query}");
+    let headers = [("idempotency-key", key)];
+    client
+        .send(Method::POST, &path, &headers, body)
+        .await
+        .unwrap()
+}
+
+async fn ticketed(client: &CallerClient, ticket: &str, body: &'static str) -> CallerReply {
+    let headers = [("x-jasminewall-ticket", ticket)];
+    let path = "/svc/orders/windows";
+    client
+        .send(Method::POST, path, &headers, body)
+        .await
+        .unwrap()
+}
+
+async fn ticket(client: &CallerClient) -> String {
+    let body = json!({"route": "orders"}).to_string();
+    let reply = client
+        .send(Method::POST, "/v1/tickets", &[], body)
+        .await
+        .unwrap();
+    assert_eq!(reply.status, 201, "{}", reply.text());
+    reply.json()["ticket"].as_str().unwrap().to_owned()
+}
+
+/// Holds tokens at a router, so that the next call needs no platform.
+async fn warm(client: &CallerClient) {
+    let reply = client
+        .send(Method::GET, "/svc/catalogue/", &[], "")
+        .await
+        .unwrap();
+    assert_eq!(reply.status, 200, "{}", reply.text());
+}
+
+#[tokio::test]
+async fn call_is_forwarded_without_headers_of_the_connection() {
+    let (fleet, clients) = start().await;
+    let headers = [
+        ("connection", "close, x-private"),
+        ("x-private", "1"),
+        ("te", "trailers"),
+        ("x-jasminewall-class", "short"),
+        ("x-kept", "yes"),
+        ("content-type", "text/plain"),
+    ];
+    let path = "/svc/catalogue/panes/7?colour=blue";
+    let reply = clients[0]
+        .send(Method::PUT, path, &headers, "plain")
+        .await
+        .unwrap();
+    assert_eq!(
+        (reply.status, reply.header("x-jasminewall-charged")),
+        (200, "1")
+    );
+    let seen = reply.json();
+    assert_eq!(
+        (
+            &seen["method"],
+            &seen["path"],
+            &seen["query"],
+            &seen["body_bytes"]
+        ),
+        (
+            &json!("PUT"),
+            &json!("/panes/7"),
+            &json!("colour=blue"),
+            &json!(5)
+        )
+    );
+    let names: BTreeSet<&str> = seen["headers"]
+        .as_object()
+        .unwrap()
+        .keys()
+        .map(String::as_str)
+        .collect();
+    let expected = [
+        "content-length",
+        "content-type",
+        "host",
+        "x-jasminewall-holder",
+        "x-jasminewall-request",
+        "x-kept",
+    ];
+    assert_eq!(names, BTreeSet::from(expected));
+    assert_eq!(stop(fleet).await, 1);
+}
+
+#[tokio::test]
+async fn limits_and_errors_of_services_are_charged_truthfully() {
+    let (fleet, clients) = start().await;
+    let get = async |path: &str, headers: &[(&str, &str)]| {
+        let path = format!("/svc/catalogue/{path}");
+        clients[0]
+            .send(Method::GET, &path, headers, "")
+            .await
+            .unwrap()
+    };
+    let large = get("?bytes=70000", &[]).await;
+    assert_eq!(
+        (large.status, large.code().as_str()),
+        (502, "answer_too_large")
+    );
+    assert_eq!(
+        (&large.json()["ran"], &large.json()["charged"]),
+        (&json!("yes"), &json!(1))
+    );
+    let failed = get("?status=500", &[]).await;
+    assert_eq!(
+        (failed.status, failed.header("x-jasminewall-charged")),
+        (500, "0")
+    );
+    let used = get("?status=409&usage=1", &[]).await;
+    assert_eq!(
+        (used.status, used.header("x-jasminewall-charged")),
+        (409, "1")
+    );
+    let foreign = get("?id=jw-vm-9-0000000000000001", &[]).await;
+    assert_eq!(
+        (foreign.status, foreign.code().as_str()),
+        (502, "answer_invalid")
+    );
+    let late = get("?sleep_ms=3000", &[("x-jasminewall-deadline-ms", "150")]).await;
+    assert_eq!((late.status, late.code().as_str()), (504, "answer_timeout"));
+    assert_eq!(late.json()["ran"], "unknown");
+    let model = clients[0]
+        .send(Method::POST, "/svc/glass-7b/v1/chat/completions", &[], "{}")
+        .await
+        .unwrap();
+    assert_eq!(
+        (model.status, model.code().as_str()),
+        (404, "unknown_route")
+    );
+    fleet.stop().await;
+}
+
+#[tokio::test]
+async fn claimed_request_runs_once_and_is_answered_by_every_router() {
+    let (fleet, clients) = start().await;
+    let missing = clients[0]
+        .send(Method::POST, "/svc/orders/windows", &[], "a")
+        .await
+        .unwrap();
+    assert_eq!(
+        (missing.status, missing.code().as_str()),
+        (400, "idempotency_key_required")
+    );
+    let first = order(&clients[0], "key-1", "", "a").await;
+    assert_eq!(
+        (first.status, first.header("x-jasminewall-charged")),
+        (200, "5")
+    );
+    for client in &clients {
+        let retry = order(client, "key-1", "", "a").await;
+        assert_eq!((retry.status, &retry.body), (200, &first.body));
+        assert_eq!(retry.header("x-jasminewall-replayed"), "true");
+        assert_eq!(
+            retry.header("x-jasminewall-request"),
+            first.header("x-jasminewall-request")
+        );
+        let reused = order(client, "key-1", "", "b").await;
+        assert_eq!(
+            (reused.status, reused.code().as_str()),
+            (422, "idempotency_key_reused")
+        );
+    }
+    let rival = CallerClient::with_key(fleet.routers[0].address, RIVAL_KEY);
+    let other = order(&rival, "key-1", "", "a").await;
+    assert_ne!(other.json()["serial"], first.json()["serial"]);
+    assert_eq!(stop(fleet).await, 10);
+}
+
+#[tokio::test]
+async fn simultaneous_requests_with_one_key_run_once() {
+    let (fleet, clients) = start().await;
+    // The peer probe runs every second; a router must know that the holder is alive.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let slow = "?sleep_ms=400";
+    let all = futures_util::future::join_all(
+        (0..12).map(|index| order(&clients[index % 3], "key-2", slow, "a")),
+    )
+    .await;
+    let ran = all.iter().filter(|reply| reply.status == 200).count();
+    assert_eq!(ran, 1);
+    for refused in all.iter().filter(|reply| reply.status != 200) {
+        assert_eq!(
+            (refused.status, refused.code().as_str()),
+            (409, "request_in_progress")
+        );
+    }
+    assert_eq!(stop(fleet).await, 5);
+}
+
+#[tokio::test]
+async fn claim_survives_lost_answers_of_the_table_service() {
+    let (fleet, clients) = start().await;
+    warm(&clients[0]).await;
+    let mut serials = BTreeSet::new();
+    let mut ran = 0;
+    for index in 0..20 {
+        fleet.platform.set_faults(FaultPlan {
+            lose_answers: 1 + index % 3,
+            ..FaultPlan::default()
+        });
+        let key = format!("lost-{index}");
+        let first = order(&clients[0], &key, "", "a").await;
+        fleet.platform.set_faults(FaultPlan::default());
+        let retry = order(&clients[0], &key, "", "a").await;
+        assert_eq!(retry.status, 200, "{}", retry.text());
+        if first.status == 200 {
+            assert_eq!(first.body, retry.body);
+        } else {
+            assert_eq!(first.json()["ran"], "no", "{}", first.text());
+        }
+        let json = retry.json();
+        serials.insert(json["serial"].as_str().unwrap().to_owned());
+        ran += 1;
+    }
+    assert_eq!(serials.len(), ran);
+    assert_eq!(stop(fleet).await, 5 * ran as u64 + 1);
+}
+
+#[tokio::test]
+async fn without_the_platform_claims_are_refused_and_tickets_run_once() {
+    let (fleet, clients) = start().await;
+    warm(&clients[0]).await;
+    fleet.platform.set_faults(FaultPlan {
+        table_down: true,
+        object_down: true,
+        ..FaultPlan::default()
+    });
+    let claim = order(&clients[0], "key-3", "", "a").await;
+    assert_eq!(
+        (claim.status, claim.code().as_str()),
+        (503, "claims_unavailable")
+    );
+    let pass = ticket(&clients[0]).await;
+    let first = ticketed(&clients[2], &pass, "a").await;
+    assert_eq!(
+        (first.status, first.header("x-jasminewall-charged")),
+        (200, "5"),
+        "{}",
+        first.text()
+    );
+    for client in &clients {
+        let retry = ticketed(client, &pass, "a").await;
+        assert_eq!((retry.status, &retry.body), (200, &first.body));
+        let reused = ticketed(client, &pass, "b").await;
+        assert_eq!(reused.code(), "idempotency_key_reused");
+    }
+    let rival = CallerClient::with_key(fleet.routers[1].address, RIVAL_KEY);
+    assert_eq!(ticketed(&rival, &pass, "a").await.code(), "ticket_invalid");
+    let forged = pass.replace('.', "0.");
+    assert_eq!(
+        ticketed(&clients[0], &forged, "a").await.code(),
+        "ticket_invalid"
+    );
+    fleet.platform.set_faults(FaultPlan::default());
+    assert_eq!(stop(fleet).await, 6);
+}
+
+#[test]
+fn ticket_of_a_router_that_is_gone_never_runs() {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let crashing = tokio::runtime::Runtime::new().unwrap();
+    let (fleet, setting, pass, claimed) = runtime.block_on(async {
+        let (fleet, clients) = start().await;
+        let mut setting = RouterSetting {
+            vm: "vm-crash".into(),
+            listen: "127.0.0.1:0".parse().unwrap(),
+            peer_listen: "127.0.0.1:0".parse().unwrap(),
+            ..fleet.routers[0].state.setting.clone()
+        };
+        let started = crashing.spawn(RouterHandle::start(setting.clone(), fleet.platform.ports()));
+        let router = started.await.unwrap().unwrap();
+        wait_ready(&router.state).await.unwrap();
+        setting.listen = router.address;
+        let client = CallerClient::new(router.address);
+        let pass = ticket(&client).await;
+        let claimed = tokio::spawn(async move {
+            let path = "/svc/orders/windows?sleep_ms=60000";
+            let headers = [("idempotency-key", "crashed")];
+            client.send(Method::POST, path, &headers, "a").await
+        });
+        warm(&clients[0]).await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        (fleet, setting, pass, claimed)
+    });
+    crashing.shutdown_background();
+    runtime.block_on(async {
+        assert!(claimed.await.unwrap().is_err());
+        let client = CallerClient::new(fleet.routers[0].address);
+        let retry = order(&client, "crashed", "?sleep_ms=60000", "a").await;
+        assert_eq!((retry.status, retry.code().as_str()), (409, "may_have_run"));
+        let unreachable = ticketed(&client, &pass, "a").await;
+        assert_eq!(unreachable.code(), "ticket_holder_unreachable");
+        let router = RouterHandle::start(setting, fleet.platform.ports())
+            .await
+            .unwrap();
+        wait_ready(&router.state).await.unwrap();
+        for address in [fleet.routers[0].address, router.address] {
+            let void = ticketed(&CallerClient::new(address), &pass, "a").await;
+            assert_eq!((void.status, void.code().as_str()), (410, "ticket_void"));
+        }
+        router.stop().await;
+        fleet.stop().await;
+    });
+}
