Add the scenario language and the invariant checks

Cause: outcomes under faults could only be checked one by one in code, and no check looked at spend, conservation, bills, runs and revisions together.

Change: a script declares customers, budgets and endpoints, starts routers in runtimes of their own, sets faults and records what callers and operators are told; every script ends with the invariant checks. status also asks the routers that the settings list.

Conclusion: more failures need a script only. Routers write no segments yet, so bills are compared with the rows until they do.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -23,6 +23,7 @@
 #[derive(Clone)]
 pub struct ControlClient {
     pub(crate) ports: PlatformPorts,
+    pub(crate) routers: Vec<String>,
     shards: u32,
 }
 
@@ -35,7 +36,18 @@
 impl ControlClient {
     /// Uses ports of a platform; `shards` is the routers' setting.
     pub fn new(ports: PlatformPorts, shards: u32) -> Self {
-        Self { ports, shards }
+        Self {
+            ports,
+            routers: Vec::new(),
+            shards,
+        }
+    }
+
+    /// Names the callers' addresses of routers, as `ip:port`, for `status`.
+    #[must_use]
+    pub fn with_routers(mut self, routers: Vec<String>) -> Self {
+        self.routers = routers;
+        self
     }
 
     /// Reads the records in force.
--- a/crates/ctl/src/ledger.rs
+++ b/crates/ctl/src/ledger.rs
@@ -93,7 +93,6 @@
 
 fn sheets_of(pools: &[TableRow], grants: &[TableRow]) -> Result<BTreeMap<BudgetId, BudgetSheet>> {
     let mut sheets = BTreeMap::<BudgetId, BudgetSheet>::new();
-    let number = |value: &Value, field: &str| value[field].as_u64().unwrap_or(0);
     for row in pools {
         let value: Value = parse(&row.key, &row.value)?;
         for (budget, entry) in value["budgets"].as_object().into_iter().flatten() {
@@ -101,7 +100,6 @@
             sheet.prepaid += number(entry, "prepaid");
             sheet.free += number(entry, "free");
             sheet.spent += number(entry, "spent");
-            sheet.unresolved += number(entry, "unresolved");
         }
     }
     let mut transfers = BTreeMap::<BudgetId, i128>::new();
@@ -119,11 +117,12 @@
             let transfer = i128::from(number(account, "given"));
             *transfers.entry(budget).or_default() +=
                 transfer - i128::from(number(account, "received"));
-            if left < 0 {
-                sheet.difference += left;
-            } else if left > 0 {
-                let left = Tokens::try_from(left).unwrap_or(Tokens::MAX);
-                sheet.granted.insert(holder.to_owned(), left);
+            let tokens = Tokens::try_from(left).unwrap_or(0);
+            sheet.difference += left.min(0);
+            if value["closed"] == true {
+                sheet.unresolved += tokens;
+            } else if tokens > 0 {
+                sheet.granted.insert(holder.to_owned(), tokens);
             }
         }
     }
@@ -140,6 +139,14 @@
     Ok(sheets)
 }
 
+/// Amount of a field; a field with one amount for each peer counts as their sum.
+fn number(value: &Value, field: &str) -> Tokens {
+    match &value[field] {
+        Value::Object(parts) => parts.values().filter_map(Value::as_u64).sum(),
+        amount => amount.as_u64().unwrap_or(0),
+    }
+}
+
 impl BudgetSheet {
     fn text(&self, name: &str) -> String {
         let mut lines = vec![
--- a/crates/ctl/src/setting.rs
+++ b/crates/ctl/src/setting.rs
@@ -10,6 +10,7 @@
     ("operator", "name"),
     ("operator", "credential"),
     ("fleet", "shards"),
+    ("fleet", "routers"),
 ];
 
 /// Settings of one operator.
@@ -23,6 +24,8 @@
     pub credential: Option<String>,
     /// Number of budget shards of the deployment, as in the routers' settings.
     pub shards: u32,
+    /// Callers' addresses of the routers, as `ip:port`, for `status`.
+    pub routers: Vec<String>,
 }
 
 impl ControlSetting {
@@ -57,6 +60,19 @@
                 "{file}: [fleet] shards: '{shards}' is not a number from 1; write the routers' value"
             ));
         }
+        let routers = ini.get_from(Some("fleet"), "routers").unwrap_or_default();
+        let routers = routers.split(',').map(str::trim);
+        let routers: Vec<String> = routers
+            .filter(|item| !item.is_empty())
+            .map(str::to_owned)
+            .collect();
+        for router in &routers {
+            if router.parse::<std::net::SocketAddr>().is_err() {
+                errors.push(format!(
+                    "{file}: [fleet] routers: '{router}' is not an address; write ip:port, ip:port"
+                ));
+            }
+        }
         if !errors.is_empty() {
             return Err(usage(errors.join("\n")));
         }
@@ -66,6 +82,7 @@
             name,
             credential: credential.map(str::to_owned),
             shards: count.unwrap_or(1),
+            routers,
         })
     }
 
@@ -79,7 +96,8 @@
         if let Some(credential) = &self.credential {
             platform = platform.with_credential(credential)?;
         }
-        Ok(ControlClient::new(platform.ports(), self.shards))
+        let client = ControlClient::new(platform.ports(), self.shards);
+        Ok(client.with_routers(self.routers.clone()))
     }
 }
 
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -1,6 +1,9 @@
 //! Shows which routers have the newest revision in force.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
 
 use {
     http_body_util::{BodyExt, Empty},
@@ -21,8 +24,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between two rounds of questions.
 const ROUND_WAIT: Duration = Duration::from_millis(250);
-/// Fields of a registration row that may hold the address for callers.
-const ADDRESS_FIELDS: [&str; 3] = ["address", "listen", "caller_address"];
+/// Field of a registration row with the address for callers, for routers that the settings do not list.
+const ADDRESS_FIELD: &str = "caller_address";
 
 struct VmStatus {
     vm: String,
@@ -48,35 +51,51 @@
         }
     }
 
+    /// Asks the routers of the settings and those whose registration names an address.
     async fn ask_vms(&self) -> Result<Vec<VmStatus>> {
-        let client = Client::builder(TokioExecutor::new()).build_http();
-        let mut asked = tokio::task::JoinSet::new();
+        let mut vms = BTreeMap::new();
+        let mut addresses: BTreeSet<String> = self.routers.iter().cloned().collect();
         for row in self.ports.table.scan(VM_PREFIX).await? {
             let value: Value = parse(&row.key, &row.value)?;
-            let fields = ADDRESS_FIELDS.iter();
-            let address = fields.filter_map(|field| value[*field].as_str()).next();
-            let address = address.unwrap_or_default().to_owned();
-            let vm = row.key[VM_PREFIX.len()..].to_owned();
+            if value["stopped"] == true {
+                continue;
+            }
+            vms.insert(row.key[VM_PREFIX.len()..].to_owned(), None);
+            addresses.extend(value[ADDRESS_FIELD].as_str().map(str::to_owned));
+        }
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        let mut asked = tokio::task::JoinSet::new();
+        for address in addresses {
             let client = client.clone();
             asked.spawn(async move {
                 let answer = tokio::time::timeout(ANSWER_TIMEOUT, ask(&client, &address)).await;
-                let revision = answer.ok().flatten();
-                VmStatus { vm, revision }
+                (address, answer.ok().flatten())
             });
         }
-        let mut vms = asked.join_all().await;
-        vms.sort_by(|a, b| a.vm.cmp(&b.vm));
-        Ok(vms)
+        for (address, answer) in asked.join_all().await {
+            match answer {
+                Some((vm, revision)) => vms.insert(vm, Some(revision)),
+                // The VM at a silent address is not known; it counts under its address.
+                None => vms.insert(address, None),
+            };
+        }
+        let vms = vms.into_iter();
+        Ok(vms
+            .map(|(vm, revision)| VmStatus { vm, revision })
+            .collect())
     }
 }
 
-async fn ask(client: &Client<HttpConnector, Empty<Bytes>>, address: &str) -> Option<Revision> {
+async fn ask(
+    client: &Client<HttpConnector, Empty<Bytes>>,
+    address: &str,
+) -> Option<(String, Revision)> {
     let request = Request::get(format!("http://{address}/version"));
     let request = request.body(Empty::new()).ok()?;
     let response = client.request(request).await.ok()?;
     let body = response.into_body().collect().await.ok()?.to_bytes();
     let body: Value = serde_json::from_slice(&body).ok()?;
-    body["revision"].as_u64()
+    Some((body["vm"].as_str()?.to_owned(), body["revision"].as_u64()?))
 }
 
 fn report(head: Revision, vms: &[VmStatus]) -> CommandReport {
--- a/crates/ctl/tests/control.rs
+++ b/crates/ctl/tests/control.rs
@@ -5,7 +5,7 @@
 use {
     jasminewall_core::{
         HolderId,
-        budget::{GrantAccount, GrantRow, grant_key, pool_key},
+        budget::{grant_key, pool_key},
         segment::{ChargeLine, OpenRequest, SegmentRecord, segment_key},
         shard_of,
     },
@@ -14,6 +14,7 @@
         Error, ExitKind, TopUpOrder,
     },
     jasminewall_platform::{FaultPlan, MemoryPlatform, ObjectPort, RowWrite, TablePort},
+    serde_json::json,
 };
 
 const SHARDS: u32 = 4;
@@ -195,23 +196,11 @@
     let mut pool: serde_json::Value = serde_json::from_str(&row.value).expect("a JSON row");
     let free = &mut pool["budgets"]["parish-2026"]["free"];
     *free = (free.as_u64().expect("a number") - granted).into();
-    let account = GrantAccount {
-        granted,
-        charged,
-        ..GrantAccount::default()
-    };
-    let accounts = [("parish-2026".into(), account)].into();
-    let grant = GrantRow {
-        holder: holder.clone(),
-        seq: 2,
-        accounts,
-    };
+    let account = json!({"granted": granted, "returned": 0, "charged": charged});
+    let grant = json!({"holder": holder, "seq": 2, "accounts": {"parish-2026": account}});
     let writes = vec![
         RowWrite::replace(row.key, row.version, pool.to_string()),
-        RowWrite::create(
-            grant_key(shard, &holder),
-            serde_json::to_string(&grant).expect("a JSON row"),
-        ),
+        RowWrite::create(grant_key(shard, &holder), grant.to_string()),
     ];
     platform.transact(writes).await.expect("the table answers");
     holder
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,1 +1,10 @@
 //! Scenario language, simulations and invariant checks for the development of jasminewall.
+//!
+//! ```
+//! use jasminewall_testkit::invariant::FleetEvidence;
+//!
+//! assert!(FleetEvidence::default().violations().is_empty());
+//! ```
+
+pub mod invariant;
+pub mod scenario;
