Reword the conflict and the explanation without a record

Cause: the conflict blamed another operator also when the same operator repeated an outdated change, and the explanation without a record began as if the refusal were certain.

Change: both sentences say what is known.

Conclusion: no sentence claims more than the rows show.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -122,7 +122,7 @@
             Err(_) => "a newer revision is in force".to_owned(),
         };
         let message = format!(
-            "another operator changed the configuration: {now}, and this change was prepared on \
+            "the configuration was changed in between: {now}, and this change was prepared on \
              revision {seen}; nothing was changed, see 'jasminectl diff' and apply again"
         );
         Error::new(ExitKind::Conflict, message)
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -200,6 +200,6 @@
         Some("not_run") => "The request did not run; nothing was charged.".into(),
         Some("open") => "The request is claimed and may be running; it will not be run by anyone else.".into(),
         Some(_) => "The request may have run; it will not be run again.".into(),
-        None => "It was refused before it was sent to an endpoint, so it did not run and cost nothing, or its router has not committed its charges yet; ask again in a minute.".into(),
+        None => "Either it was refused before it was sent to an endpoint, so that it did not run and cost nothing, or its router has not committed its charges yet; ask again in a minute.".into(),
     }
 }
