--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -23,6 +23,7 @@
 #[derive(Clone)]
 pub struct ControlClient {
     pub(crate) ports: PlatformPorts,
+    pub(crate) routers: Vec<String>,
     shards: u32,
 }
 
@@ -35,7 +36,18 @@
 impl ControlClient {
     /// Uses ports of a platform; `shards` is the routers' setting.
     pub fn new(ports: PlatformPorts, shards: u32) -> Self {
-        Self { ports, shards }
+        Self {
+            ports,
+            routers: Vec::new(),
+            shards,
+        }
+    }
+
+    /// Names the callers' addresses of routers, as `ip:port`, for `status`.
+    #[must_use]
+    pub fn with_routers(mut self, routers: Vec<String>) -> Self {
+        self.routers = routers;
+        self
     }
 
     /// Reads the records in force.
@@ -110,7 +122,7 @@
             Err(_) => "a newer revision is in force".to_owned(),
         };
         let message = format!(
-            "another operator changed the configuration: {now}, and this change was prepared on \
+            "the configuration was changed in between: {now}, and this change was prepared on \
              revision {seen}; nothing was changed, see 'jasminectl diff' and apply again"
         );
         Error::new(ExitKind::Conflict, message)
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,4 +1,12 @@
 //! Scenario language, simulations and invariant checks for the development of jasminewall.
+//!
+//! ```
+//! use jasminewall_testkit::invariant::FleetEvidence;
+//!
+//! assert!(FleetEvidence::default().violations().is_empty());
+//! ```
 
-pub mod sim;
 pub mod caller;
+pub mod invariant;
+pub mod scenario;
+pub mod sim;
