Size grants for a whole hour and measure the policies

Cause: a grant of one hour's forecast is half empty just before its refill, so an hour's partition was not covered; repeated early refills drew the end of a budget into grants. Change: a full grant is twice the forecast of the time to cover; the share of a holder counts what it has already; near the end of a budget each flush hands back what exceeds the share. A policy simulation in virtual time with fixed seeds compares the policy with equal split, fixed-size grants and no transfers, with the bounds of section 2 as a test.

--- a/crates/core/src/sizing.rs
+++ b/crates/core/src/sizing.rs
@@ -6,6 +6,8 @@
 
 /// Time constant of the spend rate; long enough that a pause of a few minutes keeps the forecast.
 const RATE_WINDOW: Duration = Duration::from_secs(600);
+/// Age up to which a holder counts as this old, so that its first requests are no high rate.
+const YOUNG_AGE_S: f64 = 30.0;
 /// Part of the free tokens that all holders in use take together, as a divisor.
 const FREE_SHARE: u64 = 2;
 /// Idle time after which a grant is handed back.
@@ -49,7 +51,7 @@
         current.decay(now);
         // The average of a holder younger than the window is too low by the part not yet seen.
         let age = now.saturating_duration_since(self.started).as_secs_f64();
-        let seen = 1.0 - (-(age.max(1.0)) / RATE_WINDOW.as_secs_f64()).exp();
+        let seen = 1.0 - (-(age.max(YOUNG_AGE_S)) / RATE_WINDOW.as_secs_f64()).exp();
         (current.rate / seen * cover.as_secs_f64()) as Tokens
     }
 
@@ -65,9 +67,9 @@
 pub struct GrantNeed {
     /// Tokens that the holder may spend now.
     pub spendable: Tokens,
-    /// Tokens that a waiting request needs.
+    /// Tokens that waiting requests need.
     pub request: Tokens,
-    /// Forecast spend in the time that a grant covers.
+    /// Size of a full grant by the forecast; see [`grant_size`].
     pub forecast: Tokens,
     /// Free tokens of the pool.
     pub free: Tokens,
@@ -75,15 +77,41 @@
     pub holders: u64,
 }
 
+/// Size of a full grant for the forecast spend in the time that it must cover.
+///
+/// It is twice that spend, because a refill starts at half of the grant: a partition that begins
+/// just before the refill must still be covered.
+pub fn grant_size(expected: Tokens) -> Tokens {
+    expected.saturating_mul(2)
+}
+
 impl GrantNeed {
-    /// Tokens to take from the pool.
-    ///
-    /// The forecast is limited to a share of the free tokens, so that the end of a budget is
-    /// spread over the holders; below that share a grant covers the waiting request only.
+    /// Part of the remaining tokens that one holder may have, so that the end of a budget is
+    /// spread over the holders and most of it stays free.
+    fn share(&self) -> Tokens {
+        (self.free + self.spendable) / (FREE_SHARE * self.holders.max(1))
+    }
+
+    /// Tokens that the holder should have.
+    pub fn target(&self) -> Tokens {
+        self.forecast.min(self.share())
+    }
+
+    /// Whether the budget nears its end, so that its share and not the forecast limits the grant.
+    pub fn is_scarce(&self) -> bool {
+        self.share() < self.forecast
+    }
+
+    /// Tokens to take from the pool: up to the target once half of it is used, and always what
+    /// waiting requests need. Near the end of a budget only the latter remains.
     pub fn take(&self) -> Tokens {
-        let share = self.free / (FREE_SHARE * self.holders.max(1));
         let missing = self.request.saturating_sub(self.spendable);
-        let ahead = self.forecast.saturating_sub(self.spendable).min(share);
+        let target = self.target();
+        let ahead = if self.spendable < target / 2 || missing > 0 {
+            target.saturating_sub(self.spendable)
+        } else {
+            0
+        };
         missing.max(ahead).min(self.free)
     }
 
@@ -92,14 +120,18 @@
         self.spendable < self.forecast / 2
     }
 
-    /// Tokens to hand back: all of an idle grant, or what exceeds twice the need.
+    /// Tokens to hand back: all of an idle grant, or what exceeds the target.
+    ///
+    /// The margin above the target avoids moves back and forth. It is smaller near the end of a
+    /// budget, where tokens that lie here are missing elsewhere.
     pub fn excess(&self, idle: Duration) -> Tokens {
         if idle >= IDLE_LIMIT {
             return self.spendable;
         }
-        let need = self.forecast.max(self.request);
-        if self.spendable > need.saturating_mul(2) {
-            self.spendable - need
+        let target = self.target().max(self.request);
+        let margin = if self.is_scarce() { target / 2 } else { target };
+        if self.spendable > target + margin {
+            self.spendable - target
         } else {
             0
         }
--- a/crates/router/src/spend.rs
+++ b/crates/router/src/spend.rs
@@ -77,6 +77,8 @@
     spend: SpendForecast,
     next_refill: Instant,
     next_return: Instant,
+    /// Whether the budget neared its end when its pool row was last read.
+    is_scarce: bool,
 }
 
 impl BudgetForecast {
@@ -85,6 +87,7 @@
             spend: SpendForecast::new(now),
             next_refill: now,
             next_return: now + commits::RETURN_INTERVAL,
+            is_scarce: false,
         }
     }
 }
--- a/crates/router/src/spend/commits.rs
+++ b/crates/router/src/spend/commits.rs
@@ -12,7 +12,7 @@
         commit::{CommitPlan, CommitState, GrantMove},
         segment::segment_key,
         shard_of,
-        sizing::GrantNeed,
+        sizing::{GrantNeed, IDLE_LIMIT, grant_size},
     },
     jasminewall_platform::{Category, RowWrite, TableRow, TransactOutcome},
 };
@@ -94,8 +94,19 @@
     Ok(())
 }
 
+/// Move that is sized once the pool row is read.
+#[derive(Clone, Debug)]
+pub(super) enum WantedMove {
+    /// Fills the grant to a size, and covers waiting requests.
+    Fill(BudgetId, Tokens),
+    /// Hands back what exceeds a size, or all of it after a long idle time.
+    Trim(BudgetId, Tokens, Duration),
+    /// Hands back all.
+    Return(BudgetId),
+}
+
 /// Early refills and returns that are due in a shard.
-fn wanted_moves(state: &RouterState, shard: ShardId) -> Vec<GrantMove> {
+fn wanted_moves(state: &RouterState, shard: ShardId) -> Vec<WantedMove> {
     let now = Instant::now();
     let mut ledger = state.spend.ledger();
     let SpendLedger {
@@ -106,35 +117,30 @@
         .iter_mut()
         .filter(|(budget, _)| state.shard_of(budget) == shard);
     for (budget, forecast) in forecasts {
-        let need = GrantNeed {
-            spendable: ledger.spendable(budget),
-            request: ledger.held(budget),
-            forecast: forecast.spend.expect(now, GRANT_COVER),
-            free: 0,
-            holders: 1,
-        };
-        if now >= forecast.next_refill && need.wants_refill() {
+        let spendable = ledger.spendable(budget);
+        let size = grant_size(forecast.spend.expect(now, GRANT_COVER));
+        let is_idle = forecast.spend.idle(now) >= IDLE_LIMIT;
+        if !is_idle && spendable < size / 2 && now >= forecast.next_refill {
             forecast.next_refill = now + REFILL_PAUSE;
-            moves.push(GrantMove::Take(budget.clone(), need.forecast));
-        } else if now >= forecast.next_return {
+            moves.push(WantedMove::Fill(budget.clone(), size));
+        }
+        if spendable > 0 && (forecast.is_scarce || now >= forecast.next_return) {
             forecast.next_return = now + RETURN_INTERVAL;
-            let tokens = need.excess(forecast.spend.idle(now));
-            if tokens > 0 {
-                moves.push(GrantMove::Return(budget.clone(), tokens));
-            }
+            let idle = forecast.spend.idle(now);
+            moves.push(WantedMove::Trim(budget.clone(), size, idle));
         }
     }
     moves
 }
 
-/// Builds and sends a commit; `Take` moves ask for the target of the grant and are sized here.
+/// Builds and sends a commit, with its moves sized by the pool row.
 ///
 /// `request` is the number of tokens that the request which starts a refill needs.
 pub(super) async fn commit(
     state: &RouterState,
     shard: ShardId,
     slot: &mut ShardSlot,
-    moves: &[GrantMove],
+    moves: &[WantedMove],
     request: Tokens,
 ) -> anyhow::Result<CommitState> {
     let pool = if moves.is_empty() {
@@ -148,7 +154,7 @@
         let mut ledger = state.spend.ledger();
         let sized = pool
             .as_ref()
-            .map(|(pool, _)| size_moves(&ledger, pool, moves, request))
+            .map(|(pool, _)| size_moves(&mut ledger, pool, moves, request))
             .unwrap_or_default();
         let stored = slot.segment_stored;
         if sized.is_empty() && !stored && !slot.commit.has_transfers(&ledger.ledger, owns) {
@@ -162,44 +168,72 @@
     send(state, shard, slot).await
 }
 
-/// Limits `Take` moves to what the sizes of grants allow.
+/// Sizes moves by the pool row, and notes which budgets near their end.
 fn size_moves(
-    ledger: &SpendLedger,
+    ledger: &mut SpendLedger,
     pool: &PoolRow,
-    moves: &[GrantMove],
+    moves: &[WantedMove],
     request: Tokens,
 ) -> Vec<GrantMove> {
-    let sized = moves.iter().map(|step| match step {
-        GrantMove::Return(budget, tokens) => (budget, *tokens, step.clone()),
-        GrantMove::Take(budget, target) => {
-            let entry = pool.budgets.get(budget);
-            let own = holder_key(ledger.ledger.holder());
-            let others = entry.map_or(0, |entry| {
-                entry.holders.iter().filter(|key| **key != own).count()
-            });
-            let free = entry.map_or(0, |entry| entry.free);
-            let spendable = ledger.ledger.spendable(budget);
-            let waiting = ledger.waiting.get(budget).copied().unwrap_or_default();
-            let need = GrantNeed {
-                spendable,
-                // Requests that cannot all be served must not draw all free tokens to one router.
-                request: if waiting <= free + spendable {
-                    waiting.max(request)
-                } else {
-                    request
-                },
-                forecast: *target,
-                free,
-                holders: others as u64 + 1,
-            };
-            let tokens = need.take();
-            (budget, tokens, GrantMove::Take(budget.clone(), tokens))
+    let mut sized = Vec::new();
+    for step in moves {
+        let (tokens, step) = match step {
+            WantedMove::Fill(budget, size) => {
+                let need = need_of(ledger, pool, budget, *size, request);
+                note_scarcity(ledger, budget, &need);
+                let tokens = need.take();
+                (tokens, GrantMove::Take(budget.clone(), tokens))
+            }
+            WantedMove::Trim(budget, size, idle) => {
+                let need = need_of(ledger, pool, budget, *size, request);
+                note_scarcity(ledger, budget, &need);
+                let tokens = need.excess(*idle);
+                (tokens, GrantMove::Return(budget.clone(), tokens))
+            }
+            WantedMove::Return(budget) => (
+                ledger.ledger.spendable(budget),
+                GrantMove::Return(budget.clone(), Tokens::MAX),
+            ),
+        };
+        if tokens > 0 {
+            sized.push(step);
         }
-    });
+    }
     sized
-        .filter(|(_, tokens, _)| *tokens > 0)
-        .map(|(_, _, step)| step)
-        .collect()
+}
+
+fn note_scarcity(ledger: &mut SpendLedger, budget: &BudgetId, need: &GrantNeed) {
+    if let Some(forecast) = ledger.forecasts.get_mut(budget) {
+        forecast.is_scarce = need.is_scarce();
+    }
+}
+
+fn need_of(
+    ledger: &SpendLedger,
+    pool: &PoolRow,
+    budget: &BudgetId,
+    size: Tokens,
+    request: Tokens,
+) -> GrantNeed {
+    let entry = pool.budgets.get(budget);
+    let own = holder_key(ledger.ledger.holder());
+    let holders = entry.map(|entry| &entry.holders).into_iter().flatten();
+    let others = holders.filter(|key| **key != own).count();
+    let free = entry.map_or(0, |entry| entry.free);
+    let spendable = ledger.ledger.spendable(budget);
+    let waiting = ledger.waiting.get(budget).copied().unwrap_or_default();
+    GrantNeed {
+        spendable,
+        // Requests that cannot all be served must not draw all free tokens to one router.
+        request: if waiting <= free + spendable {
+            waiting.max(request)
+        } else {
+            request
+        },
+        forecast: size,
+        free,
+        holders: others as u64 + 1,
+    }
 }
 
 /// Reads the pool row of a shard with its version.
@@ -332,13 +366,13 @@
         return Ok(false);
     }
     let shards = state.setting.shards;
-    let moves: Vec<GrantMove> = {
+    let moves: Vec<WantedMove> = {
         let ledger = state.spend.ledger();
         let budgets = ledger.ledger.budgets();
         budgets
             .filter(|budget| shard_of(budget, shards) == shard)
             .filter(|budget| ledger.ledger.spendable(budget) > 0)
-            .map(|budget| GrantMove::Return(budget.clone(), Tokens::MAX))
+            .map(|budget| WantedMove::Return(budget.clone()))
             .collect()
     };
     if !moves.is_empty() {
--- a/crates/router/src/spend/refill.rs
+++ b/crates/router/src/spend/refill.rs
@@ -6,13 +6,17 @@
     jasminewall_core::{
         BudgetId, Refusal, RefusalCode, Tokens,
         budget::{GrantRow, HolderKey, holder_key},
-        commit::{CommitState, GrantMove},
+        commit::CommitState,
         shard_of,
+        sizing::grant_size,
     },
     smol_str::SmolStr,
 };
 
-use super::{GRANT_COVER, RETRY_WAIT, commits};
+use super::{
+    GRANT_COVER, RETRY_WAIT,
+    commits::{self, WantedMove},
+};
 use crate::state::RouterState;
 
 /// Requests that a refill covers at least while free tokens abound; without a forecast, each
@@ -100,9 +104,9 @@
     if free + super::spendable(state, budget) < amount {
         return Ok(RefillOutcome::Short { free });
     }
-    let target = state.spend.ledger().forecast(budget, GRANT_COVER);
-    let target = target.max(amount.saturating_mul(FIRST_REQUESTS));
-    let moves = [GrantMove::Take(budget.clone(), target)];
+    let size = grant_size(state.spend.ledger().forecast(budget, GRANT_COVER));
+    let size = size.max(amount.saturating_mul(FIRST_REQUESTS));
+    let moves = [WantedMove::Fill(budget.clone(), size)];
     Ok(
         match commits::commit(state, shard, &mut slot, &moves, amount).await? {
             CommitState::Applied => {
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -1,3 +1,4 @@
 //! Simulations in virtual time with fixed seeds.
 
+pub mod policy;
 pub mod spend;
