Keep the transfer allowance from falling while a commit is open

Cause: a commit lowered the allowance while its outcome was unknown, so that tokens given under the earlier one exceeded the committed limit. The checks of the schedules also missed a top-up that counts twice. Change: the allowance only grows; the schedules check it, and compare what is prepaid with the top-ups that took effect.

--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -196,10 +196,7 @@
             GrantMove::Return(budget, tokens) => {
                 let tokens = ledger.begin_return(budget, *tokens);
                 *self.returns.entry(budget.clone()).or_default() += tokens;
-                let moved = move_to_pool(pool, row, budget, tokens);
-                if let Some(account) = row.accounts.get_mut(budget) {
-                    account.transferable = account.transferable.saturating_sub(moved);
-                }
+                move_to_pool(pool, row, budget, tokens);
             }
         }
     }
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -106,6 +106,13 @@
             .map_or(0, |account| account.row.charged)
     }
 
+    /// Tokens of a budget given to all peers so far.
+    pub fn given(&self, budget: &BudgetId) -> Tokens {
+        self.accounts
+            .get(budget)
+            .map_or(0, |account| account.row.given_total())
+    }
+
     /// Tokens held by running requests of a budget.
     pub fn held(&self, budget: &BudgetId) -> Tokens {
         self.accounts.get(budget).map_or(0, |account| account.held)
@@ -218,7 +225,9 @@
             let next = row.accounts.entry(budget.clone()).or_default();
             next.received.clone_from(&account.row.received);
             next.given.clone_from(&account.row.given);
-            next.transferable = next.given_total() + account.spendable();
+            // Never lowered: transfers under the earlier allowance go on until the commit is known.
+            let allowance = next.given_total() + account.spendable();
+            next.transferable = next.transferable.max(allowance);
         }
         row.closed_peers.clone_from(&self.closed_peers);
     }
--- a/crates/testkit/src/sim/spend.rs
+++ b/crates/testkit/src/sim/spend.rs
@@ -8,7 +8,7 @@
 use {
     jasminewall_core::{
         BudgetId, GrantLedger, HolderId, RequestId, Tokens,
-        budget::{GrantRow, HolderKey, PoolRow, can_fold, fold, holder_key},
+        budget::{GrantRow, HolderKey, PoolEntry, PoolRow, can_fold, fold, holder_key},
         commit::{GrantMove, ShardCommit},
         ledger::TransferAsk,
         segment::{ChargeLine, SegmentRecord},
@@ -16,6 +16,7 @@
     },
     rand::{Rng, SeedableRng, seq::IndexedRandom},
     rand_chacha::ChaCha8Rng,
+    smol_str::SmolStr,
 };
 
 mod check;
@@ -26,6 +27,10 @@
 const ENDPOINTS: [&str; 3] = ["engine-1", "engine-2", "engine-3"];
 /// VMs, each with at most one running router.
 const VMS: usize = 4;
+/// Tokens of each top-up.
+const RAISE: Tokens = 100;
+/// Tokens that each lowering asks back.
+const LOWER: Tokens = 150;
 /// Rounds in which the platform and all messages work, after the random steps.
 const QUIET_ROUNDS: usize = 40;
 
@@ -159,6 +164,7 @@
     faults: bool,
     counts: ScheduleCounts,
     charged_before: BTreeMap<BudgetId, Tokens>,
+    first_paid: BTreeMap<BudgetId, Tokens>,
 }
 
 impl SpendSchedule {
@@ -173,6 +179,7 @@
             schedule.step();
             schedule
                 .check_step()
+                .and_then(|()| schedule.check_allowances())
                 .map_err(|broken| format!("seed {seed}, step {step}: {broken}"))?;
         }
         schedule.calm();
@@ -190,6 +197,8 @@
             let entry = pool.budgets.entry(budget.into()).or_default();
             entry.top_up(&"first".into(), rng.random_range(200..1_500));
         }
+        let paid = |(name, entry): (&BudgetId, &PoolEntry)| (name.clone(), entry.prepaid);
+        let first_paid = pool.budgets.iter().map(paid).collect();
         let holder = |vm: usize| HolderId::new(format!("vm-{vm}"), vm as u64);
         let all_list = rng.random_bool(0.8);
         Self {
@@ -212,6 +221,7 @@
             faults: true,
             counts: ScheduleCounts::default(),
             charged_before: BTreeMap::new(),
+            first_paid,
         }
     }
 
@@ -566,10 +576,12 @@
         for id in [first, first + 1, first] {
             let mut pool = pool.clone();
             if let Some(entry) = pool.budgets.get_mut(&budget) {
-                if id % 4 == 3 {
-                    entry.lower(&format!("p{id}").into(), 150);
+                let id: SmolStr =
+                    format!("{}{id}", if id % 4 == 3 { "lower-" } else { "raise-" }).into();
+                if is_raise(&id) {
+                    entry.top_up(&id, RAISE);
                 } else {
-                    entry.top_up(&format!("p{id}").into(), 100);
+                    entry.lower(&id, LOWER);
                 }
             }
             self.write(TableWrite {
@@ -724,6 +736,11 @@
     }
 }
 
+/// Whether the id of a payment is that of a top-up and not of a lowering.
+fn is_raise(id: &str) -> bool {
+    id.starts_with("raise-")
+}
+
 fn evidence_of(run: &Run) -> ChargeEvidence {
     ChargeEvidence {
         request: run.request.clone(),
--- a/crates/testkit/src/sim/spend/check.rs
+++ b/crates/testkit/src/sim/spend/check.rs
@@ -4,10 +4,10 @@
 
 use jasminewall_core::{
     BudgetId, RequestId, Tokens,
-    budget::{GrantRow, holder_key},
+    budget::{GrantAccount, GrantRow, holder_key},
 };
 
-use super::{BUDGETS, SpendSchedule};
+use super::{BUDGETS, RAISE, SpendSchedule, is_raise};
 
 impl SpendSchedule {
     /// Checks that no budget is overspent and no committed charge is lost.
@@ -31,6 +31,15 @@
                     entry.free, entry.prepaid
                 ));
             }
+            let paid = self.first_paid[&budget]
+                + RAISE * entry.top_ups.iter().filter(|id| is_raise(id)).count() as Tokens;
+            let lowered: Tokens = entry.lowered.values().sum();
+            if entry.prepaid != paid - lowered {
+                return Err(format!(
+                    "{budget}: prepaid {}, but {paid} paid in and {lowered} taken back",
+                    entry.prepaid
+                ));
+            }
             let rows = self.table.grants.values().map(|(_, row)| row);
             let charged = entry.spent + sum(rows, &budget, |account| account.charged);
             let before = self.charged_before.insert(budget.clone(), charged);
@@ -41,6 +50,21 @@
         Ok(())
     }
 
+    /// Checks that no router gave more than the allowance that its committed row names.
+    pub(super) fn check_allowances(&self) -> Result<(), String> {
+        for router in self.routers.iter().filter(|router| router.is_alive) {
+            for budget in router.ledger.budgets() {
+                let stored = router.commit.row().accounts.get(budget);
+                let allowed = stored.map_or(0, |stored| stored.transferable);
+                if router.ledger.given(budget) > allowed {
+                    let holder = router.ledger.holder();
+                    return Err(format!("{budget}: {holder} gave more than {allowed}"));
+                }
+            }
+        }
+        Ok(())
+    }
+
     /// Checks that, once everything has healed, tokens are conserved and each request is billed once.
     pub(super) fn check_end(&mut self) -> Result<(), String> {
         let rows: Vec<&GrantRow> = self.table.grants.values().map(|(_, row)| row).collect();
@@ -123,7 +147,7 @@
 fn sum<'a>(
     rows: impl Iterator<Item = &'a GrantRow>,
     budget: &BudgetId,
-    amount: impl Fn(&jasminewall_core::budget::GrantAccount) -> Tokens,
+    amount: impl Fn(&GrantAccount) -> Tokens,
 ) -> Tokens {
     rows.filter_map(|row| row.accounts.get(budget))
         .map(amount)
