--- a/crates/testkit/tests/spend_failures.rs
+++ b/crates/testkit/tests/spend_failures.rs
@@ -141,6 +141,23 @@
     fleet.stop().await;
 }
 
+/// Puts records into force with revision 2.
+async fn configure(fleet: &EmbedFleet, records: Vec<ConfigRecord>) {
+    let delta = ConfigDelta {
+        revision: 2,
+        schema: SCHEMA_NEWEST,
+        changes: records.into_iter().map(ConfigChange::Put).collect(),
+    };
+    let head = table(fleet).read(HEAD_KEY).await.unwrap().unwrap();
+    let row = serde_json::to_string(&HeadRow { revision: 2 }).unwrap();
+    let writes = vec![
+        RowWrite::create(log_key(2), serde_json::to_string(&delta).unwrap()),
+        RowWrite::replace(HEAD_KEY, head.version, row),
+    ];
+    table(fleet).transact(writes).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+}
+
 fn down() -> FaultPlan {
     FaultPlan {
         table_down: true,
@@ -277,24 +294,9 @@
         name: OTHER.into(),
         customer: "parish".into(),
     };
-    let delta = ConfigDelta {
-        revision: 2,
-        schema: SCHEMA_NEWEST,
-        changes: vec![ConfigChange::Put(ConfigRecord::Budget(record))],
-    };
-    let head = table(&fleet).read(HEAD_KEY).await.unwrap().unwrap();
-    let writes = vec![
-        RowWrite::create(log_key(2), serde_json::to_string(&delta).unwrap()),
-        RowWrite::replace(
-            HEAD_KEY,
-            head.version,
-            serde_json::to_string(&HeadRow { revision: 2 }).unwrap(),
-        ),
-    ];
-    table(&fleet).transact(writes).await.unwrap();
+    configure(&fleet, vec![ConfigRecord::Budget(record)]).await;
     prepay(&fleet, BUDGET, 1_000).await;
     prepay(&fleet, OTHER, 160).await;
-    tokio::time::sleep(Duration::from_millis(2_500)).await;
     let mut billed = [0, 0];
     let mut refused = 0;
     for round in 0..8 {
@@ -360,3 +362,98 @@
     assert!(received > 0, "no transfer took place: {rows:?}");
     stop_and_check(fleet, BUDGET, billed).await;
 }
+
+/// Guards against tokens that stay unresolved although every endpoint lists its streams, and
+/// against a bill for a stream that a segment bills as well.
+#[tokio::test]
+async fn listed_streams_make_the_account_exact() {
+    let mut fleet = start().await;
+    prepay(&fleet, BUDGET, 2_000).await;
+    let mut billed = ask(&fleet, 0, BUDGET).await.charged;
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    // Neither a segment nor a row shows this request; only the endpoint knows of it.
+    fleet.platform.set_faults(FaultPlan {
+        object_down: true,
+        ..FaultPlan::default()
+    });
+    let answer = ask(&fleet, 0, BUDGET).await;
+    billed += answer.charged;
+    let dead = fleet.routers[0].state.holder.clone();
+    drop(fleet.routers.remove(0));
+    fleet.platform.set_faults(FaultPlan::default());
+    let list = json!([{"request": answer.body["id"], "budget": BUDGET, "tokens": answer.charged,
+        "running": false}]);
+    let row = table(&fleet).read(&log_key(1)).await.unwrap().unwrap();
+    let delta: ConfigDelta = serde_json::from_str(&row.value).unwrap();
+    let mut records = Vec::new();
+    for change in delta.changes {
+        if let ConfigChange::Put(ConfigRecord::Endpoint(mut endpoint)) = change {
+            // The first endpoint lists the stream, the others list none.
+            let list = if records.is_empty() {
+                list.clone()
+            } else {
+                json!([])
+            };
+            endpoint.address = serve_list(list).await.to_string().into();
+            endpoint.lists_streams = true;
+            records.push(ConfigRecord::Endpoint(endpoint));
+        }
+    }
+    configure(&fleet, records).await;
+    let reclaimer = fleet.routers[0].state.clone();
+    let report = reclaimer
+        .reclaim(&dead, DeathProof::LeftList)
+        .await
+        .unwrap();
+    assert_eq!(report.charged, COST, "{report:?}");
+    assert_eq!((report.unresolved, report.open_rows), (0, 0), "{report:?}");
+    let entry = entry_of(&fleet, BUDGET).await;
+    assert_eq!((entry.spent, entry.free), (billed, entry.prepaid - billed));
+    stop_and_check(fleet, BUDGET, billed).await;
+}
+
+/// Serves one list of streams on a free port.
+async fn serve_list(list: Value) -> std::net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let answer = move || async move { axum::Json(list) };
+    let app = axum::Router::new().route("/v1/streams", axum::routing::get(answer));
+    tokio::spawn(async move { axum::serve(listener, app).await });
+    address
+}
+
+/// Guards against spending by a router whose account another one has closed by mistake.
+#[tokio::test]
+async fn wrongly_reclaimed_router_stops_spending() {
+    let fleet = start().await;
+    prepay(&fleet, BUDGET, 5_000).await;
+    let mut billed = ask(&fleet, 0, BUDGET).await.charged;
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let holder = fleet.routers[0].state.holder.clone();
+    let reclaimer = fleet.routers[1].state.clone();
+    let report = reclaimer
+        .reclaim(&holder, DeathProof::NewerBoot)
+        .await
+        .unwrap();
+    assert!(report.unresolved > 0, "{report:?}");
+    // The charge of this request cannot be committed, which tells the router that it is closed.
+    let answer = ask(&fleet, 0, BUDGET).await;
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let refused = ask(&fleet, 0, BUDGET).await;
+    assert_eq!(
+        refused.body["code"], "tokens_out_of_reach",
+        "{}",
+        refused.body
+    );
+    // Its segment is evidence, so a later settlement charges the request.
+    let report = reclaimer
+        .reclaim(&holder, DeathProof::NewerBoot)
+        .await
+        .unwrap();
+    assert_eq!(report.charged, answer.charged, "{report:?}");
+    billed += answer.charged;
+    let other = ask(&fleet, 1, BUDGET).await;
+    assert_eq!(other.status, 200, "{}", other.body);
+    billed += other.charged;
+    stop_and_check(fleet, BUDGET, billed).await;
+}
