Measure fleet management and fit its traffic to the target size

Change: fleets of more than 12 routers probe three neighbours each, on hash rings with seeds of their own, and read the VM list, order rows and engines less often. ConfigState is a persistent map (imbl) that shares what did not change. Memory is measured without reuse.

--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -26,9 +26,9 @@
 /// Largest fleet in which every router probes every other.
 pub const FULL_MESH_LIMIT: usize = 12;
 /// Members of its own failure domain that a router probes in a larger fleet.
-const DOMAIN_NEIGHBOURS: usize = 3;
+const DOMAIN_NEIGHBOURS: u64 = 2;
 /// Members of other failure domains that a router probes in a larger fleet.
-const FAR_NEIGHBOURS: usize = 2;
+const FAR_NEIGHBOURS: u64 = 1;
 
 /// Key of the registration row of a VM.
 pub fn registration_key(vm: &str) -> String {
@@ -545,28 +545,40 @@
     vms.into_iter().max_by_key(|vm| (weight(vm), *vm))
 }
 
-/// Members that a router probes.
+/// Members that a router probes, and to which it passes on news.
 ///
-/// Up to [`FULL_MESH_LIMIT`] VMs these are all the others. In a larger fleet each router probes its
-/// successors on a ring ordered by hash: three of its failure domain and two of other ones. A ring
-/// gives every member of a domain the same number of probers, which random choice does not.
+/// Up to [`FULL_MESH_LIMIT`] VMs these are all the others. In a larger fleet they are successors on
+/// rings that order the VMs by hash, each ring with a seed of its own: two rings of the router's
+/// failure domain and one of all VMs, on which it skips its own domain. A ring gives every VM a
+/// prober, which a random choice does not, and rings of different order reach all VMs in few hops.
 pub fn neighbours(own: &VmId, own_domain: &DomainId, members: &[(VmId, DomainId)]) -> Vec<VmId> {
     let others = members.iter().filter(|(vm, _)| vm != own);
     if members.len() <= FULL_MESH_LIMIT {
         return others.map(|(vm, _)| vm.clone()).collect();
     }
-    let place = |vm: &VmId| (xxh3_64(vm.as_bytes()), vm.clone());
-    let start = place(own);
-    let mut ring: Vec<_> = others
-        .map(|(vm, domain)| (place(vm), domain == own_domain))
+    let near: Vec<&VmId> = others
+        .clone()
+        .filter(|(_, domain)| domain == own_domain)
+        .map(|(vm, _)| vm)
         .collect();
-    ring.sort();
-    let split = ring.partition_point(|(place, _)| *place < start);
-    ring.rotate_left(split);
-    let near = ring.iter().filter(|(_, same)| *same);
-    let far = ring.iter().filter(|(_, same)| !*same);
-    near.take(DOMAIN_NEIGHBOURS)
-        .chain(far.take(FAR_NEIGHBOURS))
-        .map(|((_, vm), _)| vm.clone())
-        .collect()
+    let far = others.filter(|(_, domain)| domain != own_domain);
+    let far: Vec<&VmId> = far.map(|(vm, _)| vm).collect();
+    let mut chosen = Vec::new();
+    for seed in 0..DOMAIN_NEIGHBOURS {
+        chosen.extend(successor(own, seed, &near, &chosen));
+    }
+    for seed in DOMAIN_NEIGHBOURS..DOMAIN_NEIGHBOURS + FAR_NEIGHBOURS {
+        chosen.extend(successor(own, seed, &far, &chosen));
+    }
+    chosen
+}
+
+/// Next VM on the ring of a seed that is not chosen already.
+fn successor(own: &VmId, seed: u64, others: &[&VmId], chosen: &[VmId]) -> Option<VmId> {
+    let place = |vm: &VmId| xxh3_64_with_seed(vm.as_bytes(), seed);
+    let start = place(own);
+    let free = others.iter().filter(|vm| !chosen.contains(vm));
+    // The distance wraps around at the end of the ring.
+    let next = free.min_by_key(|vm| (place(vm).wrapping_sub(start), **vm));
+    next.map(|vm| (*vm).clone())
 }
--- a/crates/core/src/order.rs
+++ b/crates/core/src/order.rs
@@ -13,10 +13,13 @@
 use crate::{ConfigRecord, ConfigState, EndpointId, HolderId, Tokens, record::EndpointKind};
 
 /// Time after its decision during which an order may be sent. With a read-back every
-/// [`REPAIR_INTERVAL`], a stale order is gone within the 10 s that the page allows.
+/// [`REPAIR_INTERVAL`] or [`REPAIR_INTERVAL_LARGE`], a stale order is gone within 10 s.
 pub const ORDER_VALIDITY: Duration = Duration::from_secs(10);
 /// Time between two read-backs of an engine.
 pub const REPAIR_INTERVAL: Duration = Duration::from_secs(2);
+/// Time between two read-backs of an engine in a large fleet, where each of them counts against the
+/// traffic of a router.
+pub const REPAIR_INTERVAL_LARGE: Duration = Duration::from_secs(4);
 
 /// Key of the order row of an endpoint.
 pub fn order_key(endpoint: &str) -> String {
--- a/crates/core/src/revision.rs
+++ b/crates/core/src/revision.rs
@@ -1,8 +1,9 @@
 //! Log of configuration revisions and the state that it adds up to.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::sync::Arc;
 
 use {
+    imbl::OrdMap,
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
 };
@@ -126,10 +127,13 @@
 }
 
 /// Records in force at one revision.
+///
+/// Requests hold the configuration that they began with, so a change is made on a copy. The map
+/// shares what did not change; a plain map of 450,000 budgets would be copied whole.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ConfigState {
     revision: Revision,
-    records: BTreeMap<(RecordKind, SmolStr), ConfigRecord>,
+    records: OrdMap<(RecordKind, SmolStr), Arc<ConfigRecord>>,
 }
 
 impl ConfigState {
@@ -140,12 +144,13 @@
 
     /// Records in force.
     pub fn records(&self) -> impl Iterator<Item = &ConfigRecord> {
-        self.records.values()
+        self.records.values().map(Arc::as_ref)
     }
 
     /// Record of a kind and name.
     pub fn get(&self, kind: RecordKind, name: &str) -> Option<&ConfigRecord> {
-        self.records.get(&(kind, SmolStr::new(name)))
+        let record = self.records.get(&(kind, SmolStr::new(name)));
+        record.map(Arc::as_ref)
     }
 
     /// Applies the next revision; a revision that is in force already changes nothing.
@@ -167,7 +172,7 @@
             match change {
                 ConfigChange::Put(record) => {
                     let key = (record.kind(), record.name().clone());
-                    self.records.insert(key, record.clone());
+                    self.records.insert(key, Arc::new(record.clone()));
                 }
                 ConfigChange::Remove { record, name } => {
                     self.records.remove(&(*record, name.clone()));
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -21,7 +21,7 @@
         member::{
             DeathProof, FULL_MESH_LIMIT, LIST_LAG, MemberState, MemberTable, MemberView, neighbours,
         },
-        order::REPAIR_INTERVAL,
+        order::{REPAIR_INTERVAL, REPAIR_INTERVAL_LARGE},
         record::EndpointRecord,
         revision::{ConfigChange, ConfigFollower, DeltaOutcome},
         stop,
@@ -282,6 +282,8 @@
     pub registrations: Duration,
     /// Between two reads of all order rows; a router reads a row again whenever it changes it.
     pub orders: Duration,
+    /// Between two read-backs of an engine by its owner.
+    pub read_back: Duration,
 }
 
 impl FleetIntervals {
@@ -291,16 +293,18 @@
         head: Duration::from_secs(2),
         list: Duration::from_secs(5),
         registrations: Duration::from_secs(5),
-        orders: REPAIR_INTERVAL,
+        orders: Duration::from_secs(10),
+        read_back: REPAIR_INTERVAL,
     };
     /// Times for a larger fleet. With 320 routers and 600 engines they give 80 head reads, 171
-    /// registration reads and 320 order reads a second, and 8 KB of VM list every 30 s a router.
+    /// registration reads and 107 order reads a second, and a VM list of 11 KB as often as it lags.
     const LARGE: Self = Self {
         probe: Duration::from_secs(1),
         head: Duration::from_secs(4),
-        list: Duration::from_secs(30),
+        list: Duration::from_secs(60),
         registrations: Duration::from_secs(600),
-        orders: Duration::from_secs(600),
+        orders: Duration::from_secs(1_800),
+        read_back: REPAIR_INTERVAL_LARGE,
     };
 
     /// Times for a number of routers.
--- a/crates/router/src/fleet/placement.rs
+++ b/crates/router/src/fleet/placement.rs
@@ -19,8 +19,7 @@
         member::owner_of,
         order::{
             EngineOrder, EngineReport, ModelVersion, ORDER_VALIDITY, OrderRow, PendingOrder,
-            PlacementChoice, PlacementInput, REPAIR_INTERVAL, RepairStep, compare, order_key,
-            place, takes_orders,
+            PlacementChoice, PlacementInput, RepairStep, compare, order_key, place, takes_orders,
         },
         record::EndpointRecord,
     },
@@ -59,7 +58,7 @@
         orders: OrderTable::default(),
         state: state.clone(),
     };
-    while pause(&state, REPAIR_INTERVAL).await {
+    while pause(&state, FleetIntervals::current(&state).read_back).await {
         if !state.fleet.is_ready() || state.fleet.is_leaving() {
             continue;
         }
@@ -127,8 +126,7 @@
 
     async fn read_rows(&mut self) -> anyhow::Result<()> {
         let interval = FleetIntervals::current(&self.state).orders;
-        // The scan keeps step with the rounds in a small fleet.
-        let recent = |at: Instant| interval > REPAIR_INTERVAL && at.elapsed() < interval;
+        let recent = |at: Instant| at.elapsed() < interval;
         if self.orders.read.is_some_and(recent) {
             return Ok(());
         }
--- /dev/null
+++ b/crates/testkit/examples/fleet_cost.rs
@@ -0,0 +1,580 @@
+//! Measures what fleet management costs one router: bytes, CPU time and memory, at several sizes.
+//!
+//! Run it alone on the machine: `cargo run --release -p jasminewall-testkit --example fleet_cost`.
+//! Each size has the state and the messages of that many routers; the target size is extrapolated.
+
+use std::{
+    hint::black_box,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use {
+    anyhow::{Context, Result},
+    jasminewall_core::{
+        BootId, ConfigDelta, ConfigFollower, ConfigRecord, ConfigState, DomainId, HolderId,
+        Revision, VmId,
+        member::{
+            EarlierRun, LIST_LAG, MemberNotice, MemberState, MemberTable, ProbeAnswer,
+            RegistrationRow, neighbours,
+        },
+        order::{EngineReport, ModelVersion, OrderRow},
+        record::{BudgetRecord, EndpointKind, EndpointRecord},
+        revision::{ConfigChange, HeadRow},
+    },
+    jasminewall_platform::{PortRequest, PortResponse, TableRow, VmEntry, VmState},
+    jasminewall_router::FleetIntervals,
+    jasminewall_wire::{
+        CloseReply, PeerService, PeerServiceClient, PeerServiceRequest, PeerServiceResponse,
+        ProbeReply, ProbeRequest, SettleRequest, SuspectReport, TransferReply, TransferRequest,
+        frame_size,
+    },
+    serde::Serialize,
+    tarpc::{
+        client, context,
+        server::{BaseChannel, Channel},
+    },
+    tokio::net::{TcpListener, TcpStream},
+};
+
+const SIZES: [usize; 4] = [3, 9, 27, 81];
+const TARGET_ROUTERS: usize = 320;
+const TARGET_BUDGETS: usize = 450_000;
+const TARGET_ENGINES: usize = 600;
+const DOMAINS: usize = 8;
+/// Configuration changes, and restarts or failures of VMs, of the whole fleet a day.
+const CHANGES_A_DAY: f64 = 1_300.0;
+const LEAVES_A_DAY: f64 = 335.0;
+const DAY_SECONDS: f64 = 86_400.0;
+/// IPv4 and TCP headers with timestamps, in bytes; a call takes three packets with its last ACK.
+const PACKET_HEADERS: f64 = 3.0 * 52.0;
+/// Headers of an HTTP request and its response, in bytes.
+const HTTP_HEADERS: f64 = 250.0;
+/// Bounds of section 1 of the design.
+const BOUND_BYTES: f64 = 5_000.0;
+const BOUND_CORE: f64 = 0.043;
+const BOUND_MEMORY: f64 = 32e6;
+const SECRET: &str = "cost";
+const BOOT: BootId = 1 << 60;
+const PROBES: u32 = 10_000;
+const ROUNDS: u32 = 20_000;
+const DELTAS: u64 = 2_000;
+
+/// Cost of one router at one size.
+struct CostSample {
+    routers: f64,
+    bytes: f64,
+    mesh_bytes: f64,
+    probe_core: f64,
+    delta_seconds: f64,
+    memory: f64,
+}
+
+fn vm(index: usize) -> VmId {
+    format!("vm-{index:03}").into()
+}
+
+fn domain(index: usize) -> DomainId {
+    format!("domain-{}", index % DOMAINS).into()
+}
+
+fn address(index: usize) -> SocketAddr {
+    let [high, low] = u16::try_from(index).unwrap_or(0).to_be_bytes();
+    ([10, 0, high, low], 7000).into()
+}
+
+fn registration(index: usize) -> RegistrationRow {
+    RegistrationRow {
+        vm: vm(index),
+        boot: BOOT + 1,
+        address: address(index),
+        failure_domain: domain(index),
+        stopped: false,
+        earlier: vec![EarlierRun {
+            boot: BOOT,
+            address: address(index),
+        }],
+    }
+}
+
+fn answer(index: usize) -> ProbeAnswer {
+    ProbeAnswer {
+        holder: HolderId::new(vm(index), BOOT + 1),
+        address: address(index),
+        failure_domain: domain(index),
+        revision: 1_300,
+        leaving: false,
+    }
+}
+
+fn member_table(routers: usize, now: Instant) -> MemberTable {
+    let mut table = MemberTable::new(HolderId::new(vm(0), BOOT), LIST_LAG);
+    let list: Vec<_> = (0..routers).map(|index| (vm(index), false)).collect();
+    table.observe_list(&list, now);
+    for index in 1..routers {
+        table.observe_registration(&registration(index), now);
+        table.observe_answer(&answer(index), now, now);
+    }
+    table
+}
+
+fn notice() -> MemberNotice {
+    MemberNotice {
+        holder: HolderId::new(vm(7), BOOT + 1),
+        state: MemberState::Suspect,
+        age_ms: 1_000,
+    }
+}
+
+fn probe_request() -> ProbeRequest {
+    ProbeRequest {
+        holder: HolderId::new(vm(0), BOOT),
+        address: address(0),
+        revision: 1_300,
+        notices: vec![notice()],
+    }
+}
+
+fn probe_reply() -> ProbeReply {
+    ProbeReply {
+        vm: vm(1),
+        boot: BOOT,
+        failure_domain: domain(1),
+        revision: 1_300,
+        leaving: false,
+        notices: vec![notice()],
+    }
+}
+
+fn delta(revision: Revision) -> ConfigDelta {
+    let record = EndpointRecord {
+        name: "engine-domain-3-017".into(),
+        runs: EndpointKind::ModelEngine,
+        address: "10.20.30.40:8000".into(),
+        failure_domain: domain(3),
+        slots: 8,
+        honours_fencing: true,
+        lists_streams: true,
+        leaving: false,
+    };
+    ConfigDelta {
+        revision,
+        schema: 2,
+        changes: vec![ConfigChange::Put(ConfigRecord::Endpoint(record))],
+    }
+}
+
+fn order() -> OrderRow {
+    OrderRow {
+        endpoint: "engine-domain-3-017".into(),
+        number: 1_000,
+        target: ModelVersion {
+            model: "glass-7b".into(),
+            version: "2026-11".into(),
+        },
+        decider: HolderId::new(vm(1), BOOT),
+        valid_until_ms: 1 << 40,
+        reason: "keeps its model, whose cache is warm".into(),
+    }
+}
+
+/// Bytes of a call between routers: request, response and packet headers.
+fn peer_call(request: PeerServiceRequest, response: PeerServiceResponse) -> Result<f64> {
+    let request = tarpc::ClientMessage::Request(tarpc::Request {
+        context: context::current(),
+        id: 1_000_000,
+        message: request,
+    });
+    let response = tarpc::Response {
+        request_id: 1_000_000,
+        message: Ok(response),
+    };
+    Ok((frame_size(&request)? + frame_size(&response)?) as f64 + PACKET_HEADERS)
+}
+
+/// Bytes of a platform call over HTTP, with a packet more for every 1,448 bytes.
+fn port_call(request: &PortRequest, response: &PortResponse) -> Result<f64> {
+    let bytes = json_size(request)? + json_size(response)? + HTTP_HEADERS;
+    Ok(bytes + PACKET_HEADERS + bytes / 1_448.0 * 52.0)
+}
+
+fn json_size(value: &impl Serialize) -> Result<f64> {
+    Ok(serde_json::to_vec(value)?.len() as f64)
+}
+
+fn table_row(key: &str, value: &impl Serialize) -> Result<TableRow> {
+    Ok(TableRow {
+        key: key.into(),
+        version: 1_000_000,
+        value: serde_json::to_string(value)?,
+    })
+}
+
+fn row_read(key: &str, value: &impl Serialize) -> Result<f64> {
+    let row = table_row(key, value)?;
+    port_call(
+        &PortRequest::Read { key: key.into() },
+        &PortResponse::Row(Some(row)),
+    )
+}
+
+fn row_scan(prefix: &str, rows: Vec<TableRow>) -> Result<f64> {
+    let prefix = prefix.into();
+    port_call(&PortRequest::Scan { prefix }, &PortResponse::Rows(rows))
+}
+
+/// Traffic of one router: what, bytes a call, calls a second. Calls between routers count at both
+/// ends.
+fn traffic(routers: usize) -> Result<Vec<(&'static str, f64, f64)>> {
+    let intervals = FleetIntervals::of(routers);
+    let all: Vec<_> = (0..routers)
+        .map(|index| (vm(index), domain(index)))
+        .collect();
+    let probed = neighbours(&vm(0), &domain(0), &all).len() as f64;
+    let scale = routers as f64 / TARGET_ROUTERS as f64;
+    let engines = (TARGET_ENGINES as f64 * scale).round();
+    let probe = peer_call(
+        PeerServiceRequest::Probe {
+            request: probe_request(),
+        },
+        PeerServiceResponse::Probe(probe_reply()),
+    )?;
+    let fetch = peer_call(
+        PeerServiceRequest::ConfigsAfter { revision: 1_299 },
+        PeerServiceResponse::ConfigsAfter(vec![serde_json::to_string(&delta(1_300))?]),
+    )?;
+    let leaving = peer_call(
+        PeerServiceRequest::Leaving {
+            name: vm(1),
+            boot: BOOT,
+        },
+        PeerServiceResponse::Leaving(()),
+    )?;
+    let entries = (0..routers).map(|index| VmEntry {
+        vm: vm(index),
+        state: VmState::Live,
+    });
+    // The request for the list is as small as the one for the counts.
+    let list = port_call(&PortRequest::Counts, &PortResponse::Vms(entries.collect()))?;
+    let rows = (0..routers).map(|index| table_row("vm/vm-000", &registration(index)));
+    let orders = (0..engines as usize).map(|_| table_row("order/engine-domain-3-017", &order()));
+    let report = EngineReport {
+        running: Some(order().target),
+        loading: None,
+        number: 1_000,
+    };
+    let read_back = json_size(&report)? + HTTP_HEADERS + PACKET_HEADERS;
+    let changes = CHANGES_A_DAY * scale / DAY_SECONDS;
+    let leaves = LEAVES_A_DAY * scale / DAY_SECONDS;
+    let every = |interval: Duration| 1.0 / interval.as_secs_f64();
+    Ok(vec![
+        ("probes", probe, 2.0 * probed * every(intervals.probe)),
+        ("announced revisions", probe, 2.0 * probed * changes),
+        ("deltas from peers", fetch, 2.0 * changes),
+        (
+            "deltas from the table",
+            row_read("config/log/000000001300", &delta(1_300))?,
+            changes,
+        ),
+        ("leaving messages", leaving, 2.0 * probed * leaves),
+        (
+            "configuration head",
+            row_read("config/head", &HeadRow { revision: 1_300 })?,
+            every(intervals.head),
+        ),
+        ("VM list", list, every(intervals.list)),
+        (
+            "registrations",
+            row_scan("vm/", rows.collect::<Result<_>>()?)?,
+            every(intervals.registrations),
+        ),
+        (
+            "order rows",
+            row_scan("order/", orders.collect::<Result<_>>()?)?,
+            every(intervals.orders),
+        ),
+        (
+            "read-back of engines",
+            read_back,
+            engines / routers as f64 * every(intervals.read_back),
+        ),
+    ])
+}
+
+/// CPU time that the main thread, which runs everything here, has used.
+fn cpu_time() -> Result<Duration> {
+    let text = std::fs::read_to_string("/proc/self/schedstat")?;
+    let nanos = text.split(' ').next().context("no CPU time")?.parse()?;
+    Ok(Duration::from_nanos(nanos))
+}
+
+/// Resident memory of this process, in bytes.
+fn memory() -> Result<f64> {
+    let text = std::fs::read_to_string("/proc/self/statm")?;
+    let pages: f64 = text.split(' ').nth(1).context("no memory")?.parse()?;
+    Ok(pages * 4_096.0)
+}
+
+/// CPU seconds of one probe at both ends: call, authentication, encoding and answer.
+async fn probe_cpu(routers: usize) -> Result<f64> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let table = Arc::new(Mutex::new(member_table(routers, Instant::now())));
+    let server = ProbeServer {
+        table: table.clone(),
+    };
+    let serving = tokio::spawn(async move {
+        let (stream, _) = listener.accept().await?;
+        let callee = HolderId::new(vm(1), BOOT);
+        let (_, transport) = jasminewall_wire::accept(stream, SECRET, &callee).await?;
+        let calls = BaseChannel::with_defaults(transport).execute(server.serve());
+        futures_util::StreamExt::for_each_concurrent(calls, 4, |call| call).await;
+        anyhow::Ok(())
+    });
+    let stream = TcpStream::connect(address).await?;
+    let caller = HolderId::new(vm(0), BOOT);
+    let (_, transport) = jasminewall_wire::connect(stream, SECRET, &caller).await?;
+    let client = PeerServiceClient::new(client::Config::default(), transport).spawn();
+    let before = cpu_time()?;
+    for _ in 0..PROBES {
+        let started = Instant::now();
+        let reply = client.probe(context::current(), probe_request()).await?;
+        black_box(&reply);
+        if let Ok(mut table) = table.lock() {
+            table.observe_answer(&answer(1), started, Instant::now());
+        }
+    }
+    let spent = cpu_time()? - before;
+    serving.abort();
+    Ok(spent.as_secs_f64() / f64::from(PROBES))
+}
+
+/// CPU seconds that a router takes once a round to choose whom it probes.
+fn round_cpu(routers: usize) -> Result<f64> {
+    let now = Instant::now();
+    let table = member_table(routers, now);
+    let before = cpu_time()?;
+    for _ in 0..ROUNDS {
+        let views = table.views(now).into_iter();
+        let all: Vec<_> = views
+            .map(|view| (view.holder.vm, view.failure_domain))
+            .collect();
+        black_box(neighbours(&vm(0), &domain(0), &all));
+        black_box(table.notices(now, 8));
+    }
+    Ok((cpu_time()? - before).as_secs_f64() / f64::from(ROUNDS))
+}
+
+/// Number of budgets in the share of a number of routers.
+fn budget_count(routers: usize) -> usize {
+    TARGET_BUDGETS * routers / TARGET_ROUTERS
+}
+
+fn budgets(routers: usize) -> ConfigDelta {
+    let budget = |index: usize| {
+        ConfigChange::Put(ConfigRecord::Budget(BudgetRecord {
+            name: format!("budget-{index:06}").into(),
+            customer: format!("customer-{:04}", index % 2_400).into(),
+        }))
+    };
+    ConfigDelta {
+        revision: 1,
+        schema: 2,
+        changes: (0..budget_count(routers)).map(budget).collect(),
+    }
+}
+
+/// CPU seconds to take a delta into force while a request holds the configuration before it.
+fn delta_cpu(routers: usize) -> Result<f64> {
+    let mut follower = ConfigFollower::default();
+    follower.offer(&serde_json::to_string(&budgets(routers))?)?;
+    let texts: Vec<String> = (0..DELTAS)
+        .map(|index| serde_json::to_string(&delta(index + 2)))
+        .collect::<serde_json::Result<_>>()?;
+    let before = cpu_time()?;
+    for text in &texts {
+        let held = follower.config().clone();
+        follower.offer(text)?;
+        black_box(held);
+    }
+    Ok((cpu_time()? - before).as_secs_f64() / DELTAS as f64)
+}
+
+/// Memory of the records of one router, in bytes, as a share of copies that are built alike.
+fn record_memory(routers: usize) -> Result<f64> {
+    let first = budgets(routers);
+    let copies = TARGET_BUDGETS / budget_count(routers);
+    let before = memory()?;
+    let mut states = vec![ConfigState::default(); copies];
+    for state in &mut states {
+        state.apply(&first)?;
+    }
+    let used = memory()? - before;
+    // Kept, so that the next measurement cannot reuse its memory unseen.
+    std::mem::forget((states, first));
+    Ok(used / copies as f64)
+}
+
+/// Memory of the member table of one router, in bytes.
+fn member_memory(routers: usize) -> Result<f64> {
+    let copies = 30_000 / routers;
+    let now = Instant::now();
+    let before = memory()?;
+    let tables: Vec<_> = (0..copies).map(|_| member_table(routers, now)).collect();
+    let used = memory()? - before;
+    std::mem::forget(tables);
+    Ok(used / copies as f64)
+}
+
+async fn measure(routers: usize, members: f64, records: f64) -> Result<CostSample> {
+    let delta_seconds = delta_cpu(routers)?;
+    let traffic = traffic(routers)?;
+    let bytes = traffic.iter().map(|(_, bytes, rate)| bytes * rate).sum();
+    let (_, probe_bytes, probe_rate) = traffic[0];
+    let mesh_rate = 2.0 * (routers - 1) as f64;
+    let mesh_bytes = bytes + probe_bytes * (mesh_rate - probe_rate);
+    let probe_cpu = probe_cpu(routers).await?;
+    let round = round_cpu(routers)?;
+    // Each router pays one end of the probes that it sends and of as many that it answers.
+    let probe_core = probe_cpu * probe_rate / 2.0 + round;
+    println!(
+        "{routers:>3} routers: {bytes:>6.0} B/s (as full mesh {mesh_bytes:>6.0}), probe {:>5.1} us \
+         at both ends, round {:>6.1} us, delta {:>8.1} us, member {:>5.0} B, record {:>5.0} B",
+        probe_cpu * 1e6,
+        round * 1e6,
+        delta_seconds * 1e6,
+        members / (routers - 1) as f64,
+        records / budget_count(routers) as f64,
+    );
+    Ok(CostSample {
+        routers: routers as f64,
+        bytes,
+        mesh_bytes,
+        probe_core,
+        delta_seconds,
+        memory: members + records,
+    })
+}
+
+/// Slope and offset of the least-squares line through samples.
+fn fit(samples: &[CostSample], value: impl Fn(&CostSample) -> f64) -> (f64, f64) {
+    let count = samples.len() as f64;
+    let mean_x = samples.iter().map(|sample| sample.routers).sum::<f64>() / count;
+    let mean_y = samples.iter().map(&value).sum::<f64>() / count;
+    let product = |sample: &CostSample| (sample.routers - mean_x) * (value(sample) - mean_y);
+    let square = |sample: &CostSample| (sample.routers - mean_x).powi(2);
+    let slope = samples.iter().map(product).sum::<f64>() / samples.iter().map(square).sum::<f64>();
+    (slope, mean_y - slope * mean_x)
+}
+
+fn report(what: &str, unit: &str, bound: Option<f64>, line: (f64, f64)) {
+    let (slope, offset) = line;
+    let target = slope * TARGET_ROUTERS as f64 + offset;
+    let verdict = match bound {
+        Some(bound) if target <= bound => format!("within {bound}"),
+        Some(bound) => format!("OVER {bound}"),
+        None => "no bound of its own".into(),
+    };
+    println!(
+        "{what:<30} {slope:>14.6} {unit} for each router, {target:>14.4} {unit} at {TARGET_ROUTERS}: {verdict}"
+    );
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> Result<()> {
+    let mut samples = Vec::new();
+    let mut memories = Vec::new();
+    for routers in SIZES {
+        memories.push((member_memory(routers)?, record_memory(routers)?));
+    }
+    for (routers, (members, records)) in SIZES.into_iter().zip(memories) {
+        samples.push(measure(routers, members, records).await?);
+    }
+    println!(
+        "\ntraffic of one router at {TARGET_ROUTERS} routers, from the sizes of its messages:"
+    );
+    let mut total = 0.0;
+    for (what, bytes, rate) in traffic(TARGET_ROUTERS)? {
+        total += bytes * rate;
+        println!(
+            "  {what:<22} {bytes:>9.0} B x {rate:>8.4}/s = {:>7.1} B/s",
+            bytes * rate
+        );
+    }
+    println!("  total {total:.0} B/s\n");
+    // Only sizes above the full-mesh limit tell how the ring scales.
+    let ring = &samples[2..];
+    let line = fit(&samples, |sample| sample.mesh_bytes);
+    report(
+        "traffic, probes as full mesh",
+        "B/s",
+        Some(BOUND_BYTES),
+        line,
+    );
+    let line = fit(ring, |sample| sample.bytes);
+    report(
+        "traffic, probes on the ring",
+        "B/s",
+        Some(BOUND_BYTES),
+        line,
+    );
+    let line = fit(ring, |sample| sample.probe_core);
+    report("probes", "core", Some(BOUND_CORE), line);
+    let line = fit(&samples, |sample| sample.delta_seconds);
+    report("one delta", "s", None, line);
+    let rate = CHANGES_A_DAY / DAY_SECONDS;
+    let share = (line.0 * rate, line.1 * rate);
+    report(
+        "deltas at the target's rate",
+        "core",
+        Some(BOUND_CORE),
+        share,
+    );
+    let line = fit(&samples, |sample| sample.memory);
+    report("members and records", "B", Some(BOUND_MEMORY), line);
+    Ok(())
+}
+
+#[derive(Clone)]
+struct ProbeServer {
+    table: Arc<Mutex<MemberTable>>,
+}
+
+impl PeerService for ProbeServer {
+    async fn probe(self, _: context::Context, request: ProbeRequest) -> ProbeReply {
+        let now = Instant::now();
+        if let Ok(mut table) = self.table.lock() {
+            table.observe_call(&request.holder, now);
+            for notice in &request.notices {
+                table.observe_notice(notice, now);
+            }
+            black_box(table.notices(now, 8));
+        }
+        probe_reply()
+    }
+
+    async fn transfer(self, _: context::Context, _: TransferRequest) -> TransferReply {
+        TransferReply { tokens: 0, left: 0 }
+    }
+
+    async fn close_giver(self, _: context::Context, _: HolderId) -> CloseReply {
+        CloseReply {
+            received: std::collections::BTreeMap::new(),
+        }
+    }
+
+    async fn configs_after(self, _: context::Context, _: Revision) -> Vec<String> {
+        Vec::new()
+    }
+
+    async fn suspects(self, _: context::Context, _: Vec<SuspectReport>) -> Vec<SuspectReport> {
+        Vec::new()
+    }
+
+    async fn settle(self, _: context::Context, _: SettleRequest) -> bool {
+        false
+    }
+
+    async fn leaving(self, _: context::Context, _: VmId, _: BootId) {}
+}
