--- a/crates/wire/tests/seal.rs
+++ b/crates/wire/tests/seal.rs
@@ -115,7 +115,7 @@
     let recorded = std::sync::Mutex::new(Vec::new());
     relay(SECRET, |frames| recorded.lock().unwrap().clone_from(frames)).await;
     let replayed = relay(SECRET, |frames| {
-        frames.clone_from(&recorded.lock().unwrap())
+        frames.clone_from(&recorded.lock().unwrap());
     });
     assert_eq!(outcome(&replayed.await), ["refused"]);
 }
