Ask peers only for tokens that may exist, and bound closed peers in rows

Cause: each refused request asked all peers one after the other, without a bound on the time, even when the table proves that nothing is left; each death added an entry to all rows of all routers. Change: the pool and the rows are read first; a proven refusal asks nobody, otherwise the named holders are asked first, for at most 2 s in all. A row names a closed peer only while that peer has a row in the same shard. A request for tokens that nobody has cost one call for each peer before and none now, by the code; no run counts these calls. Conclusion: refusals cost reads instead of calls to the whole fleet.

--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -1,6 +1,6 @@
 //! Numbered commits of one holder in one shard.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
     BudgetId, GrantLedger, HolderId, ShardId, Tokens,
@@ -78,6 +78,7 @@
     segment: Option<SegmentRecord>,
     plan: Option<CommitPlan>,
     returns: BTreeMap<BudgetId, Tokens>,
+    closing: BTreeSet<HolderKey>,
 }
 
 impl ShardCommit {
@@ -90,6 +91,7 @@
             segment: None,
             plan: None,
             returns: BTreeMap::new(),
+            closing: BTreeSet::new(),
         }
     }
 
@@ -113,6 +115,14 @@
         self.segment.as_ref()
     }
 
+    /// Sets the closed peers that the next commit names, of those that the ledger has closed.
+    ///
+    /// Only holders that have a row in the shard need to be named: nobody settles with the others,
+    /// and rows would grow with each router that ever died.
+    pub fn set_closing(&mut self, closing: BTreeSet<HolderKey>) {
+        self.closing = closing;
+    }
+
     /// Builds the next segment from charge lines, unless an earlier one is not committed yet.
     pub fn freeze(&mut self, lines: &mut Vec<ChargeLine>, open: Vec<OpenRequest>) {
         if self.segment.is_some() || lines.is_empty() {
@@ -141,7 +151,7 @@
                 same,
             )
         });
-        accounts || (self.version > 0 && next.closed_peers != self.row.closed_peers)
+        accounts || (self.version > 0 && self.closing != self.row.closed_peers)
     }
 
     /// Builds the next commit, with the charges of the segment only when it is `stored`.
@@ -158,6 +168,7 @@
         let mut row = self.row.clone();
         row.step += 1;
         ledger.fill_row(&mut row, owns);
+        row.closed_peers.clone_from(&self.closing);
         if let (true, Some(segment)) = (stored, &self.segment) {
             row.seq = segment.seq;
             for line in &segment.lines {
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -215,7 +215,7 @@
         }
     }
 
-    /// Copies transfers and closed peers that are not committed into the next row of a shard.
+    /// Copies transfers that are not committed into the next row of a shard.
     pub fn fill_row(&self, row: &mut GrantRow, owns: impl Fn(&BudgetId) -> bool) {
         for (budget, account) in self.accounts.iter().filter(|(budget, _)| owns(budget)) {
             let moved = !account.row.received.is_empty() || !account.row.given.is_empty();
@@ -229,7 +229,6 @@
             let allowance = next.given_total() + account.spendable();
             next.transferable = next.transferable.max(allowance);
         }
-        row.closed_peers.clone_from(&self.closed_peers);
     }
 
     /// Takes the moves of a commit that took effect into the ledger.
@@ -371,6 +370,11 @@
         received
     }
 
+    /// Holders with which no more tokens are exchanged.
+    pub fn closed_peers(&self) -> &BTreeSet<HolderKey> {
+        &self.closed_peers
+    }
+
     /// Givers that are not closed and have not answered the last request.
     pub fn open_asks(&self) -> BTreeSet<HolderKey> {
         let open = self
--- a/crates/router/src/spend.rs
+++ b/crates/router/src/spend.rs
@@ -30,7 +30,7 @@
 mod transfer;
 
 pub use self::reclaim::ReclaimReport;
-use self::refill::RefillOutcome;
+use self::refill::{RefillOutcome, RestView};
 
 /// Time between two commits of charges.
 const FLUSH_INTERVAL: Duration = Duration::from_secs(1);
@@ -99,6 +99,9 @@
     segment_stored: bool,
     /// Whether an earlier attempt at the plan may still take effect.
     is_uncertain: bool,
+    /// Number of closed peers, and time, of the last check which of them have rows in the shard.
+    closed_peers: usize,
+    closed_at: Instant,
 }
 
 impl SpendTable {
@@ -131,6 +134,8 @@
                 commit: ShardCommit::new(shard, holder),
                 segment_stored: false,
                 is_uncertain: false,
+                closed_peers: 0,
+                closed_at: Instant::now(),
             }))
         });
         slot.clone()
@@ -221,17 +226,24 @@
         if try_hold(state, hold) {
             return Ok(());
         }
-        let outcome = refill::refill(state, budget, *amount).await;
-        let free = match outcome {
+        let (free, view) = match refill::refill(state, budget, *amount).await {
             RefillOutcome::Granted | RefillOutcome::Conflict => continue,
-            RefillOutcome::Short { free } => free,
-            RefillOutcome::Unreachable => 0,
+            RefillOutcome::Short { free } => (free, refill::view(state, budget, *amount).await),
+            RefillOutcome::Unreachable => (0, RestView::unreachable(state)),
         };
+        if view.is_spent {
+            return Err(view.refusal);
+        }
+        if try_hold(state, hold) {
+            return Ok(());
+        }
+        let lacks = amount.saturating_sub(free);
+        let received = transfer::ask_rest(state, budget, lacks, &view.holders).await;
         if try_hold(state, hold) {
             return Ok(());
         }
-        if transfer::ask_rest(state, budget, amount.saturating_sub(free)).await == 0 {
-            return Err(refill::explain(state, budget, *amount).await);
+        if received == 0 {
+            return Err(view.refusal);
         }
     }
     let refusal = Refusal::new(RefusalCode::TokensOutOfReach);
--- a/crates/router/src/spend/commits.rs
+++ b/crates/router/src/spend/commits.rs
@@ -22,6 +22,8 @@
 
 /// Time between two checks for tokens to hand back; each return is a write of the pool row.
 pub(super) const RETURN_INTERVAL: Duration = Duration::from_secs(60);
+/// Time between two checks which closed peers still have rows.
+const CLOSED_INTERVAL: Duration = Duration::from_secs(600);
 /// Time until the next early refill after the pool had nothing to give.
 const REFILL_PAUSE: Duration = Duration::from_secs(10);
 
@@ -55,6 +57,7 @@
         return Ok(());
     }
     let segment = store_segment(state, shard, slot).await;
+    check_closing(state, shard, slot).await?;
     let moves = wanted_moves(state, shard);
     let has_transfers = {
         let ledger = state.spend.ledger();
@@ -69,6 +72,27 @@
     segment
 }
 
+/// Finds which closed peers the next commit must name: those with a row in the shard.
+async fn check_closing(
+    state: &RouterState,
+    shard: ShardId,
+    slot: &mut ShardSlot,
+) -> anyhow::Result<()> {
+    let closed = state.spend.ledger().ledger.closed_peers().clone();
+    let is_old =
+        !slot.commit.row().closed_peers.is_empty() && slot.closed_at.elapsed() >= CLOSED_INTERVAL;
+    if closed.len() == slot.closed_peers && !is_old {
+        return Ok(());
+    }
+    let rows = read_grants(state, shard).await?;
+    let keys = rows.iter().map(|(_, row)| holder_key(&row.holder));
+    let closing = keys.filter(|key| closed.contains(key)).collect();
+    slot.commit.set_closing(closing);
+    slot.closed_peers = closed.len();
+    slot.closed_at = Instant::now();
+    Ok(())
+}
+
 /// Writes the segment of the next charges, unless it is stored already.
 async fn store_segment(
     state: &RouterState,
--- a/crates/router/src/spend/refill.rs
+++ b/crates/router/src/spend/refill.rs
@@ -1,6 +1,6 @@
 //! Refills of the grant from the pool, and the explanation of a refusal for lack of tokens.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use {
     jasminewall_core::{
@@ -125,24 +125,56 @@
     Ok(entry.map_or(0, |entry| entry.free))
 }
 
-/// Refusal of a request that the grant, the peers and the pool did not cover.
-///
-/// It says `budget_spent` only when the pool row and all grant rows prove that.
-pub(super) async fn explain(state: &RouterState, budget: &BudgetId, amount: Tokens) -> Refusal {
-    let out_of_reach = Refusal::new(RefusalCode::TokensOutOfReach).retry_after(RETRY_WAIT);
+/// What is known of the tokens that the grant and the pool do not cover.
+pub(super) struct RestView {
+    /// Refusal, in case peers do not help.
+    pub(super) refusal: Refusal,
+    /// Whether the pool row and all grant rows prove that the budget does not cover the request.
+    pub(super) is_spent: bool,
+    /// Holders that have tokens by their rows.
+    pub(super) holders: BTreeSet<HolderKey>,
+}
+
+impl RestView {
+    fn out_of_reach(note: impl Into<SmolStr>) -> Self {
+        Self {
+            refusal: Refusal::new(RefusalCode::TokensOutOfReach)
+                .retry_after(RETRY_WAIT)
+                .note(note),
+            is_spent: false,
+            holders: BTreeSet::new(),
+        }
+    }
+
+    /// View without the table service.
+    pub(super) fn unreachable(state: &RouterState) -> Self {
+        let domain = &state.setting.failure_domain;
+        let peers = state.fleet.peers().len();
+        Self::out_of_reach(format!(
+            "What failure domain '{domain}' holds of the budget is spent; the table service cannot \
+             be reached, and {peers} routers that can be reached have too few tokens."
+        ))
+    }
+}
+
+/// Reads where the rest of a budget is; it is proven to be spent only by all of its rows.
+pub(super) async fn view(state: &RouterState, budget: &BudgetId, amount: Tokens) -> RestView {
     match read_rest(state, budget).await {
-        Ok(Some(rest)) if rest.total() < amount => RefusalCode::BudgetSpent.into(),
-        Ok(Some(rest)) => out_of_reach.note(rest.note(amount)),
-        Ok(None) => out_of_reach
-            .note("The tokens of the budget are moving between routers; try again in a moment."),
+        Ok(Some(rest)) if rest.total() < amount => RestView {
+            refusal: RefusalCode::BudgetSpent.into(),
+            is_spent: true,
+            holders: BTreeSet::new(),
+        },
+        Ok(Some(rest)) => RestView {
+            holders: rest.elsewhere.keys().cloned().collect(),
+            ..RestView::out_of_reach(rest.note(amount))
+        },
+        Ok(None) => RestView::out_of_reach(
+            "The tokens of the budget are moving between routers; try again in a moment.",
+        ),
         Err(error) => {
             tracing::warn!(%error, %budget, "the rest of the budget cannot be read");
-            let domain = &state.setting.failure_domain;
-            let peers = state.fleet.peers().len();
-            out_of_reach.note(format!(
-                "What failure domain '{domain}' holds of the budget is spent; the table service \
-                 cannot be reached, and {peers} routers that can be reached have too few tokens."
-            ))
+            RestView::unreachable(state)
         }
     }
 }
--- a/crates/router/src/spend/transfer.rs
+++ b/crates/router/src/spend/transfer.rs
@@ -1,12 +1,17 @@
 //! Transfers of tokens between routers, which need no platform.
 
 use std::{
+    collections::BTreeSet,
     sync::{Arc, PoisonError},
     time::Duration,
 };
 
 use {
-    jasminewall_core::{BudgetId, HolderId, Tokens, ledger::TransferAsk},
+    jasminewall_core::{
+        BudgetId, HolderId, Tokens,
+        budget::{HolderKey, holder_key},
+        ledger::TransferAsk,
+    },
     jasminewall_wire::{TransferReply, TransferRequest},
 };
 
@@ -18,6 +23,8 @@
 
 /// Longest time for one transfer, connection included.
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time in which a request waits for tokens of all peers together.
+const REST_TIMEOUT: Duration = Duration::from_secs(2);
 /// Peers asked for spare tokens before the platform is asked, which costs one table write.
 const SPARE_PEERS: usize = 2;
 /// Part of a grant's time that is asked for at once, as a divisor; peers keep enough to go on.
@@ -38,27 +45,44 @@
     }
 }
 
-/// Asks all peers for what a request still lacks; says how many tokens came.
-pub(super) async fn ask_rest(state: &RouterState, budget: &BudgetId, amount: Tokens) -> Tokens {
-    let mut received = 0;
-    for peer in sorted_peers(state) {
-        let lacks = missing(state, budget, amount);
-        if lacks == 0 {
-            break;
+/// Asks peers for what a request still lacks, those first that have tokens by their rows; says how
+/// many tokens came.
+pub(super) async fn ask_rest(
+    state: &RouterState,
+    budget: &BudgetId,
+    amount: Tokens,
+    holders: &BTreeSet<HolderKey>,
+) -> Tokens {
+    let before = super::spendable(state, budget);
+    let mut peers = sorted_peers(state);
+    peers.sort_by_key(|peer| !holders.contains(&holder_key(&peer.holder)));
+    let asks = async {
+        for peer in peers {
+            if !ask_one(state, &peer, budget, amount).await {
+                break;
+            }
         }
-        let Some(reply) = ask(state, &peer, budget, lacks, lacks).await else {
-            continue;
-        };
-        received += reply.tokens;
+    };
+    // An ask that the timeout cuts off is repeated by the next one to the same giver.
+    if tokio::time::timeout(REST_TIMEOUT, asks).await.is_err() {
+        tracing::warn!(%budget, "not all peers were asked for tokens in time");
+    }
+    super::spendable(state, budget).saturating_sub(before)
+}
+
+/// Asks one peer for all or, when it has less, for what it has; `false` when nothing lacks.
+async fn ask_one(state: &RouterState, peer: &PeerView, budget: &BudgetId, amount: Tokens) -> bool {
+    let lacks = missing(state, budget, amount);
+    if lacks == 0 {
+        return false;
+    }
+    if let Some(reply) = ask(state, peer, budget, lacks, lacks).await {
         let part = reply.left.min(lacks);
-        if reply.tokens == 0
-            && part > 0
-            && let Some(reply) = ask(state, &peer, budget, part, part).await
-        {
-            received += reply.tokens;
+        if reply.tokens == 0 && part > 0 {
+            ask(state, peer, budget, part, part).await;
         }
     }
-    received
+    true
 }
 
 fn missing(state: &RouterState, budget: &BudgetId, amount: Tokens) -> Tokens {
--- a/crates/testkit/src/sim/spend.rs
+++ b/crates/testkit/src/sim/spend.rs
@@ -402,6 +402,12 @@
             return;
         }
         let put = !self.faults || self.rng.random_bool(0.8);
+        let rows = self.table.grants.keys().cloned().collect();
+        let router = &mut self.routers[index];
+        let closed = router.ledger.closed_peers();
+        router
+            .commit
+            .set_closing(closed.intersection(&rows).cloned().collect());
         let router = &mut self.routers[index];
         router.commit.freeze(&mut router.lines, Vec::new());
         if let (true, Some(segment)) = (put, router.commit.segment()) {
