Release the hold of a caller that does not read, and send metrics at once

Cause: a caller that stops reading keeps the relay from being polled, so its stream ran and its hold lasted as long as its connection, past the deadline. The buffering metric sink kept the metrics of a quiet router. A settings error was printed with a backtrace where RUST_BACKTRACE is set.

Change: each stream has a watch that cancels it at the engine and charges what was generated when its deadline has passed. Metrics go out one by one. The binary prints its error on one line, or as the report of all mistakes.

Conclusion: a hold ends with the deadline of its request.

--- a/crates/router/src/api/relay.rs
+++ b/crates/router/src/api/relay.rs
@@ -1,6 +1,6 @@
 //! Relays an engine's event stream to the caller and charges it once.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{future::Future, io, sync::Arc, time::Duration};
 
 use {
     axum::{
@@ -16,8 +16,9 @@
     serde_json::Value,
     tokio::{
         runtime::Handle,
-        time::{Instant, timeout, timeout_at},
+        time::{Instant, sleep_until, timeout, timeout_at},
     },
+    tokio_util::sync::CancellationToken,
 };
 
 use super::{
@@ -37,6 +38,8 @@
 const RESUME_ATTEMPTS: u32 = 3;
 /// Time to read the end of an endpoint's body after `[DONE]`, so that its connection is reused.
 const DRAIN_TIME: Duration = Duration::from_millis(50);
+/// Time beyond its deadline that a stream has to report its own end.
+const DEADLINE_GRACE: Duration = Duration::from_secs(2);
 /// Longest time that the engine may take to cancel a stream.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -58,7 +61,7 @@
     /// Address of the engine.
     address: String,
     target: ChargeTarget,
-    settled: bool,
+    settled: CancellationToken,
 }
 
 impl StreamCharge {
@@ -78,48 +81,64 @@
             stream,
             address,
             target,
-            settled: false,
+            settled: CancellationToken::new(),
         }
     }
 
+    /// Work of cancelling the engine stream and charging what it generated.
+    fn cancellation(&self, end: RequestEnd) -> impl Future<Output = Tokens> + Send + 'static {
+        let api = self.api.clone();
+        let caller = self.caller.clone();
+        let stream = self.stream.clone();
+        let address = self.address.clone();
+        let target = self.target.clone();
+        async move { cancel_and_charge(&api, &caller, &address, &stream, &target, end).await }
+    }
+
+    /// Ends the stream after its deadline. A caller that does not read keeps the relay from being
+    /// polled, and its hold would last as long as its connection.
+    fn watch_deadline(&self) {
+        let settled = self.settled.clone();
+        let deadline = Instant::from_std(self.caller.deadline) + DEADLINE_GRACE;
+        let cancellation = self.cancellation(RequestEnd::Cancelled);
+        let stream = self.stream.clone();
+        self.api.tracker.spawn(async move {
+            tokio::select! {
+                () = settled.cancelled() => return,
+                () = sleep_until(deadline) => settled.cancel(),
+            }
+            let charged = cancellation.await;
+            tracing::warn!(request = %stream, charged, "the caller did not read the stream until its deadline; it was cancelled");
+        });
+    }
+
     /// Charges the usage, or leaves the hold unresolved when it is not known.
     async fn settle(&mut self, usage: Option<Tokens>, end: RequestEnd) -> Tokens {
-        self.settled = true;
+        self.settled.cancel();
         charge(&self.api, &self.caller, &self.target, usage, end).await
     }
 
     /// Cancels the engine stream and charges what it generated.
     async fn cancel(&mut self, end: RequestEnd) -> Tokens {
-        self.settled = true;
-        cancel_and_charge(
-            &self.api,
-            &self.caller,
-            &self.address,
-            &self.stream,
-            &self.target,
-            end,
-        )
-        .await
+        self.settled.cancel();
+        self.cancellation(end).await
     }
 }
 
 impl Drop for StreamCharge {
     fn drop(&mut self) {
-        if self.settled {
+        if self.settled.is_cancelled() {
             return;
         }
+        self.settled.cancel();
         // There is no runtime any more when the process itself ends; the engine's list remains.
         let Ok(runtime) = Handle::try_current() else {
             return;
         };
-        let api = self.api.clone();
-        let caller = self.caller.clone();
+        let cancellation = self.cancellation(RequestEnd::Cancelled);
         let stream = self.stream.clone();
-        let address = std::mem::take(&mut self.address);
-        let target = self.target.clone();
         let task = async move {
-            let end = RequestEnd::Cancelled;
-            let charged = cancel_and_charge(&api, &caller, &address, &stream, &target, end).await;
+            let charged = cancellation.await;
             tracing::info!(request = %stream, charged, "the caller left the stream; it was cancelled");
         };
         self.api.tracker.spawn_on(task, &runtime);
@@ -277,6 +296,7 @@
 /// Response that relays a stream, with the headers of the router.
 pub(super) fn respond(relay: StreamRelay, resume_token: &str) -> Response {
     let charge = &relay.charge;
+    charge.watch_deadline();
     let left = spend::spendable(&charge.api.state, &charge.caller.budget);
     let stream = charge.stream.clone();
     let mut response = Response::new(Body::from_stream(events(relay)));
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -3,6 +3,7 @@
 use std::{
     net::IpAddr,
     path::{Path, PathBuf},
+    process::ExitCode,
     str::FromStr,
 };
 
@@ -48,7 +49,17 @@
 }
 
 #[tokio::main]
-async fn main() -> Result<()> {
+async fn main() -> ExitCode {
+    match run().await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("jasminewall: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run() -> Result<()> {
     let command = flags::Jasminewall::from_env_or_exit();
     match command.subcommand {
         flags::JasminewallCmd::Embed(embed) => run_embed(embed.ip, embed.log).await,
--- a/crates/router/src/telemetry.rs
+++ b/crates/router/src/telemetry.rs
@@ -9,8 +9,7 @@
 use {
     anyhow::{Result, anyhow},
     cadence::{
-        BufferedUdpMetricSink, Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient,
-        Timed,
+        Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink,
     },
     tracing_subscriber::EnvFilter,
 };
@@ -135,7 +134,8 @@
     };
     let socket = UdpSocket::bind(local)?;
     socket.set_nonblocking(true)?;
-    let sink = BufferedUdpMetricSink::from(address, socket)?;
+    // A buffering sink would keep the metrics of a quiet router until its buffer is full.
+    let sink = UdpMetricSink::from(address, socket)?;
     let sink = QueuingMetricSink::with_capacity(sink, QUEUE_LIMIT);
     Ok(StatsdClient::builder(PREFIX, sink)
         .with_tag("vm", vm)
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -87,6 +87,8 @@
     forget: bool,
     /// Sends every event twice, and the whole stream twice.
     twice: bool,
+    /// Bytes added to each token.
+    pad: usize,
     /// Time for one token, in milliseconds.
     token_ms: Option<u64>,
 }
@@ -338,7 +340,7 @@
                         }
                         return;
                     }
-                    let delta = json!({"role": "assistant", "content": format!("{} ", engine.word(index))});
+                    let delta = json!({"role": "assistant", "content": format!("{}{} ", "x".repeat(fault.pad), engine.word(index))});
                     let data = job.chunk(&delta, None).to_string();
                     for _ in 0..copies {
                         yield Ok::<_, Infallible>(Event::default().id(index.to_string()).data(data.clone()));
--- a/crates/testkit/tests/caller_completions.rs
+++ b/crates/testkit/tests/caller_completions.rs
@@ -182,6 +182,31 @@
     assert_eq!(stop(fleet).await, used);
 }
 
+#[tokio::test]
+async fn caller_that_does_not_read_holds_tokens_until_its_deadline_only() {
+    let (fleet, client) = start().await;
+    let fault =
+        json!({"stream": true, "max_tokens": 4000, "standin": {"token_ms": 1, "pad": 65536}});
+    let body = completion(&fault).to_string();
+    let deadline = [("x-jasminewall-deadline-ms", "500")];
+    let response = client
+        .open(Method::POST, PATH, &deadline, body)
+        .await
+        .unwrap();
+    let request = response.headers()["x-jasminewall-request"]
+        .to_str()
+        .unwrap()
+        .to_owned();
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    let stream = stream_at_engine(&fleet.platform, &request).await;
+    assert_eq!(stream["state"], "cancelled");
+    drop(response);
+    assert_eq!(
+        stop(fleet).await,
+        stream["usage"]["total_tokens"].as_u64().unwrap()
+    );
+}
+
 #[tokio::test]
 async fn leaving_a_whole_answer_is_still_billed() {
     let (fleet, client) = start().await;
--- a/crates/testkit/tests/caller_settings.rs
+++ b/crates/testkit/tests/caller_settings.rs
@@ -1,10 +1,16 @@
 //! Guards against settings mistakes that surface one at a time or only in operation, against
 //! secrets in output, and against documentation that differs from the code.
 
-use jasminewall_router::{
-    RouterSetting, StandinSetting,
-    setting::{ROUTER_KEYS, STANDIN_KEYS},
-    telemetry::METRIC_NAMES,
+use std::{collections::BTreeSet, net::UdpSocket, time::Duration};
+
+use {
+    jasminewall_router::{
+        RouterHandle, RouterSetting, StandinSetting,
+        setting::{ROUTER_KEYS, STANDIN_KEYS},
+        telemetry::METRIC_NAMES,
+    },
+    jasminewall_testkit::caller::{CallerClient, start_fleet, wait_ready},
+    serde_json::json,
 };
 
 const SETTINGS: &str = include_str!("../../../docs/settings.md");
@@ -87,3 +93,39 @@
         .count();
     assert_eq!(rows, METRIC_NAMES.len());
 }
+
+/// Guards against metrics that are documented but never sent.
+#[tokio::test]
+async fn every_metric_is_sent() {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket
+        .set_read_timeout(Some(Duration::from_secs(2)))
+        .unwrap();
+    let fleet = start_fleet(Default::default()).await.unwrap();
+    let setting = RouterSetting {
+        vm: "vm-metrics".into(),
+        listen: "127.0.0.1:0".parse().unwrap(),
+        peer_listen: "127.0.0.1:0".parse().unwrap(),
+        metrics: Some(socket.local_addr().unwrap()),
+        ..fleet.routers[0].state.setting.clone()
+    };
+    let router = RouterHandle::start(setting, fleet.platform.ports())
+        .await
+        .unwrap();
+    wait_ready(&router.state).await.unwrap();
+    let client = CallerClient::new(router.address);
+    client.complete(&json!({})).await.unwrap();
+    client.complete(&json!({"model": "none"})).await.unwrap();
+    let mut missing: BTreeSet<&str> = METRIC_NAMES.iter().copied().collect();
+    let mut buffer = [0; 2_048];
+    while !missing.is_empty() {
+        let Ok(length) = socket.recv(&mut buffer) else {
+            panic!("not sent: {missing:?}");
+        };
+        let text = String::from_utf8_lossy(&buffer[..length]).into_owned();
+        assert!(text.contains("vm:vm-metrics"), "{text}");
+        missing.retain(|name| !text.contains(&format!("jasminewall.{name}:")));
+    }
+    router.stop().await;
+    fleet.stop().await;
+}
