--- a/crates/core/src/record/parse.rs
+++ b/crates/core/src/record/parse.rs
@@ -38,8 +38,9 @@
     /// Record that a command line declares instead of a file.
     pub fn from_command(record: ConfigRecord) -> Self {
         Self {
+            // The oldest version that has the kind, so that older routers can read the revision.
+            schema: since(record.kind(), ""),
             record,
-            schema: SCHEMA_NEWEST,
             place: RecordPlace {
                 file: "command line".into(),
                 line: 0,
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -187,10 +187,13 @@
     entry.top_ups.insert(name.clone());
     entry.free -= taken;
     entry.prepaid -= taken;
-    format!(
-        "top-up {name} took {taken} tokens from budget {budget}; {} could not be taken because they are granted or spent",
-        size - taken
-    )
+    let line = format!("top-up {name} took {taken} tokens from budget {budget}");
+    match size - taken {
+        0 => line,
+        rest => format!(
+            "{line}; {rest} could not be taken: they are granted, spent or were never paid in"
+        ),
+    }
 }
 
 pub(crate) fn parse<T: DeserializeOwned>(key: &str, value: &str) -> Result<T> {
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -14,6 +14,8 @@
 const SEGMENT_PREFIX: &str = "segment/";
 /// Prefix of all claim rows.
 const CLAIM_PREFIX: &str = "claim/";
+/// Start of the request ids that routers make.
+const REQUEST_PREFIX: &str = "jw-";
 /// Hex digits at the end of a request id, after the name of its VM.
 const REQUEST_DIGITS: usize = 16;
 
@@ -68,6 +70,7 @@
         // A request id begins with the VM that took it, whose segments are searched first.
         let vm = request.len().checked_sub(REQUEST_DIGITS + 1);
         let vm = vm.and_then(|end| request.get(..end)).unwrap_or_default();
+        let vm = vm.strip_prefix(REQUEST_PREFIX).unwrap_or(vm);
         let own = format!("{SEGMENT_PREFIX}{vm}.");
         let mut keys = self.ports.object.list(&own).await?;
         let first = keys.len();
