Read the stream lists that engines give, and settle what has ended

Cause: the settlement expected a list of its own form with budgets, while the stand-in engines list state and usage without the budget. Change: the list has the form of the engines; a missing budget is taken from the segments; a stream that runs or has no known budget keeps the account open, and the others are charged at once. Conclusion: lists of engines count as evidence; requests that no segment names need the budget in the list.

--- a/crates/router/src/spend/reclaim.rs
+++ b/crates/router/src/spend/reclaim.rs
@@ -1,6 +1,9 @@
 //! Settlement of the accounts of routers that are proven to be dead.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use {
     axum::body::Body,
@@ -16,6 +19,7 @@
     },
     jasminewall_platform::{RowWrite, TransactOutcome},
     serde::Deserialize,
+    smol_str::SmolStr,
 };
 
 use super::{commits, transfer};
@@ -25,6 +29,8 @@
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
 /// Largest list of streams that is read, in bytes.
 const LIST_LIMIT: usize = 4 << 20;
+/// State of a listed stream that has not ended.
+const RUNNING: &str = "running";
 
 /// State of a dead router's account after an attempt to settle it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -39,13 +45,24 @@
     pub open_rows: u32,
 }
 
+/// Answer of an endpoint that lists its streams.
+#[derive(Deserialize)]
+struct StreamList {
+    streams: Vec<ListedStream>,
+}
+
 /// Stream of an endpoint's list.
 #[derive(Deserialize)]
 struct ListedStream {
     request: RequestId,
-    budget: BudgetId,
-    tokens: Tokens,
-    running: bool,
+    budget: Option<BudgetId>,
+    state: SmolStr,
+    usage: StreamUsage,
+}
+
+#[derive(Deserialize)]
+struct StreamUsage {
+    total_tokens: Tokens,
 }
 
 impl RouterState {
@@ -220,23 +237,56 @@
     evidence
         .endpoints
         .extend(noted_endpoints(&evidence.segments));
+    let budgets = noted_budgets(&evidence.segments);
     for record in records.iter().filter(|record| record.lists_streams) {
-        match list_streams(record, dead).await {
-            Ok(Some(mut charges)) => {
-                charges.retain(owns);
-                evidence.listed.insert(record.name.clone(), charges);
-            }
-            Ok(None) => {
-                tracing::info!(endpoint = %record.name, %dead, "streams of the dead router still run");
-            }
+        let streams = match list_streams(record, dead).await {
+            Ok(streams) => streams,
             Err(error) => {
                 tracing::warn!(endpoint = %record.name, %error, "endpoint does not list its streams");
+                continue;
             }
+        };
+        let mut is_final = true;
+        let mut charges = Vec::new();
+        for stream in streams {
+            let budget = stream
+                .budget
+                .or_else(|| budgets.get(&stream.request).cloned());
+            let (true, Some(budget)) = (stream.state != RUNNING, budget) else {
+                tracing::info!(
+                    endpoint = %record.name, %dead, request = %stream.request,
+                    "listed stream still runs, or its budget is not known"
+                );
+                is_final = false;
+                continue;
+            };
+            charges.push(ChargeEvidence {
+                request: stream.request,
+                budget,
+                tokens: stream.usage.total_tokens,
+            });
+        }
+        charges.retain(owns);
+        if is_final {
+            evidence.listed.insert(record.name.clone(), charges);
+        } else {
+            // What has ended is proven, although the list as a whole is not final.
+            evidence.resumed.extend(charges);
         }
     }
     Ok(evidence)
 }
 
+/// Budget of each request that the segments name.
+fn noted_budgets(segments: &[SegmentRecord]) -> BTreeMap<RequestId, BudgetId> {
+    let lines = segments.iter().flat_map(|segment| &segment.lines);
+    let open = segments.iter().flat_map(|segment| &segment.open);
+    lines
+        .map(|line| (line.request.clone(), line.budget.clone()))
+        .chain(open.map(|request| (request.request.clone(), request.budget.clone())))
+        .collect()
+}
+
 /// Endpoints that the segments name, which may have left the configuration.
 fn noted_endpoints(segments: &[SegmentRecord]) -> BTreeSet<EndpointId> {
     let lines = segments.iter().flat_map(|segment| &segment.lines);
@@ -247,11 +297,11 @@
         .collect()
 }
 
-/// Ended streams of a holder; `None` while one still runs.
+/// Streams of a holder at one endpoint.
 async fn list_streams(
     record: &EndpointRecord,
     dead: &HolderId,
-) -> anyhow::Result<Option<Vec<ChargeEvidence>>> {
+) -> anyhow::Result<Vec<ListedStream>> {
     let client: Client<_, Body> = Client::builder(TokioExecutor::new()).build_http();
     let uri = format!("http://{}/v1/streams?holder={dead}", record.address);
     let request = Request::get(uri).body(Body::empty())?;
@@ -266,14 +316,6 @@
         Ok(body.to_bytes())
     };
     let body = tokio::time::timeout(LIST_TIMEOUT, call).await??;
-    let streams: Vec<ListedStream> = serde_json::from_slice(&body)?;
-    if streams.iter().any(|stream| stream.running) {
-        return Ok(None);
-    }
-    let charges = streams.into_iter().map(|stream| ChargeEvidence {
-        request: stream.request,
-        budget: stream.budget,
-        tokens: stream.tokens,
-    });
-    Ok(Some(charges.collect()))
+    let list: StreamList = serde_json::from_slice(&body)?;
+    Ok(list.streams)
 }
--- a/crates/testkit/tests/spend_failures.rs
+++ b/crates/testkit/tests/spend_failures.rs
@@ -393,8 +393,8 @@
     let dead = fleet.routers[0].state.holder.clone();
     drop(fleet.routers.remove(0));
     fleet.platform.set_faults(FaultPlan::default());
-    let list = json!([{"request": answer.body["id"], "budget": BUDGET, "tokens": answer.charged,
-        "running": false}]);
+    let list = json!([{"request": answer.body["id"], "budget": BUDGET, "state": "ended",
+        "usage": {"total_tokens": answer.charged}}]);
     let row = table(&fleet).read(&log_key(1)).await.unwrap().unwrap();
     let delta: ConfigDelta = serde_json::from_str(&row.value).unwrap();
     let mut records = Vec::new();
@@ -428,7 +428,7 @@
 async fn serve_list(list: Value) -> std::net::SocketAddr {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let answer = move || async move { axum::Json(list) };
+    let answer = move || async move { axum::Json(json!({"streams": list})) };
     let app = axum::Router::new().route("/v1/streams", axum::routing::get(answer));
     tokio::spawn(async move { axum::serve(listener, app).await });
     address
