Check that peers give their last tokens during an outage

Cause: the test of transfers showed that some took place, not that none was refused while a peer had enough. Change: it asks until both routers refuse and compares what is left with the worst case of one request.

--- a/crates/testkit/tests/spend_failures.rs
+++ b/crates/testkit/tests/spend_failures.rs
@@ -28,6 +28,9 @@
 /// Charge of one request: two words of prompt and eight tokens of answer.
 const COST: Tokens = 10;
 
+/// Upper limit of the hold of one request: the bytes of its body and its largest answer.
+const WORST_CASE: Tokens = 140;
+
 struct Answer {
     status: u16,
     charged: Tokens,
@@ -355,17 +358,38 @@
     }
     tokio::time::sleep(Duration::from_millis(2_500)).await;
     fleet.platform.set_faults(down());
+    let rows = fleet.routers.iter().take(2);
+    let holders: Vec<HolderId> = rows.map(|router| router.state.holder.clone()).collect();
+    fleet.platform.set_faults(FaultPlan::default());
+    let rows = grants(&fleet).await;
+    fleet.platform.set_faults(down());
+    let balance: Tokens = rows
+        .iter()
+        .filter(|row| holders.contains(&row.holder))
+        .map(|row| row.accounts[BUDGET].balance())
+        .sum();
     let mut served = 0;
-    for round in 0..40 {
+    let mut refused = 0;
+    for round in 0..100 {
         let answer = ask(&fleet, round % 2, BUDGET).await;
         billed += answer.charged;
         if answer.status == 200 {
-            served += 1;
-        } else {
-            assert_eq!(answer.body["code"], "tokens_out_of_reach");
+            (served, refused) = (served + 1, 0);
+            continue;
+        }
+        assert_eq!(answer.body["code"], "tokens_out_of_reach");
+        refused += 1;
+        if refused == 2 {
+            break;
         }
     }
-    assert!(served > 0);
+    assert_eq!(refused, 2, "the grants never ended");
+    // Both routers together have less than the worst case of one request left.
+    let left = balance - served * COST;
+    assert!(
+        left < WORST_CASE,
+        "{left} of {balance} tokens are left after {served} requests"
+    );
     fleet.platform.set_faults(FaultPlan::default());
     tokio::time::sleep(Duration::from_millis(2_500)).await;
     let rows = grants(&fleet).await;
