Store segments without blocking refills, and commit shards side by side

Cause: the flush held the lock of a shard while it waited for the object store, so a slow store delayed requests that waited for a refill; shards were committed one after the other. Change: the segment is written outside the lock; up to 16 shards are committed at the same time. A test bounds the commits for 40 requests at once. The delay itself was not measured. Conclusion: refills depend on the table service only.

--- a/crates/router/src/spend/commits.rs
+++ b/crates/router/src/spend/commits.rs
@@ -4,6 +4,7 @@
 
 use {
     anyhow::Context,
+    futures_util::StreamExt,
     jasminewall_core::{
         BudgetId, HolderId, ShardId, Tokens,
         budget::{
@@ -24,18 +25,20 @@
 pub(super) const RETURN_INTERVAL: Duration = Duration::from_secs(60);
 /// Time between two checks which closed peers still have rows.
 const CLOSED_INTERVAL: Duration = Duration::from_secs(600);
+/// Shards that one flush commits at the same time.
+const FLUSHES_AT_ONCE: usize = 16;
 /// Time until the next early refill after the pool had nothing to give.
 const REFILL_PAUSE: Duration = Duration::from_secs(10);
 
 /// Commits what changed in each shard.
 pub(super) async fn flush(state: &RouterState) {
-    for shard in dirty_shards(state) {
-        let slot = state.spend.slot(shard);
-        let mut slot = slot.lock().await;
-        if let Err(error) = flush_shard(state, shard, &mut slot).await {
+    let shards = futures_util::stream::iter(dirty_shards(state));
+    let flushes = shards.for_each_concurrent(FLUSHES_AT_ONCE, |shard| async move {
+        if let Err(error) = flush_shard(state, shard).await {
             tracing::warn!(%error, shard, "charges are not committed; they are kept and tried again");
         }
-    }
+    });
+    flushes.await;
 }
 
 /// Shards with an account or with charge lines.
@@ -48,15 +51,14 @@
     ids
 }
 
-async fn flush_shard(
-    state: &RouterState,
-    shard: ShardId,
-    slot: &mut ShardSlot,
-) -> anyhow::Result<()> {
+async fn flush_shard(state: &RouterState, shard: ShardId) -> anyhow::Result<()> {
+    let segment = store_segment(state, shard).await;
+    let slot = state.spend.slot(shard);
+    let mut slot = slot.lock().await;
+    let slot = &mut *slot;
     if slot.commit.plan().is_some() && send(state, shard, slot).await? == CommitState::Pending {
         return Ok(());
     }
-    let segment = store_segment(state, shard, slot).await;
     check_closing(state, shard, slot).await?;
     let moves = wanted_moves(state, shard);
     let has_transfers = {
@@ -79,8 +81,7 @@
     slot: &mut ShardSlot,
 ) -> anyhow::Result<()> {
     let closed = state.spend.ledger().ledger.closed_peers().clone();
-    let is_old =
-        !slot.commit.row().closed_peers.is_empty() && slot.closed_at.elapsed() >= CLOSED_INTERVAL;
+    let is_old = !closed.is_empty() && slot.closed_at.elapsed() >= CLOSED_INTERVAL;
     if closed.len() == slot.closed_peers && !is_old {
         return Ok(());
     }
@@ -94,27 +95,33 @@
 }
 
 /// Writes the segment of the next charges, unless it is stored already.
-async fn store_segment(
-    state: &RouterState,
-    shard: ShardId,
-    slot: &mut ShardSlot,
-) -> anyhow::Result<()> {
-    {
+///
+/// The shard is not locked meanwhile: refills, for which callers wait, go on without the charges
+/// when the object store is slow.
+async fn store_segment(state: &RouterState, shard: ShardId) -> anyhow::Result<()> {
+    let slot = state.spend.slot(shard);
+    let segment = {
+        let mut slot = slot.lock().await;
         let shards = state.setting.shards;
         let mut ledger = state.spend.ledger();
         let open = ledger.open_requests(|budget| shard_of(budget, shards) == shard);
         let lines = ledger.lines.entry(shard).or_default();
         slot.commit.freeze(lines, open);
-    }
-    let (false, Some(segment)) = (slot.segment_stored, slot.commit.segment()) else {
-        return Ok(());
+        match slot.commit.segment() {
+            Some(segment) if !slot.segment_stored => segment.clone(),
+            _ => return Ok(()),
+        }
     };
     let key = segment_key(&segment.holder, shard, segment.seq);
-    let value = serde_json::to_vec(segment)?;
+    let value = serde_json::to_vec(&segment)?;
     // `false` means that an earlier attempt, whose answer was lost, has stored the same segment.
     let put = state.ports.object.put_new(&key, value).await;
     put.context("the segment is not stored")?;
-    slot.segment_stored = true;
+    let mut slot = slot.lock().await;
+    slot.segment_stored |= slot
+        .commit
+        .segment()
+        .is_some_and(|next| next.seq == segment.seq);
     Ok(())
 }
 
--- a/crates/testkit/tests/spend_failures.rs
+++ b/crates/testkit/tests/spend_failures.rs
@@ -493,3 +493,25 @@
     billed += other.charged;
     stop_and_check(fleet, BUDGET, billed).await;
 }
+
+/// Guards against a row write for each request; all charges of a flush belong in one commit.
+#[tokio::test]
+async fn charges_are_committed_in_groups() {
+    let fleet = start().await;
+    ask(&fleet, 0, BUDGET).await;
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let before = grants(&fleet).await[0].clone();
+    let answers = join_all((0..40).map(|_| ask(&fleet, 0, BUDGET))).await;
+    assert!(answers.iter().all(|answer| answer.status == 200));
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let after = grants(&fleet).await[0].clone();
+    let charged = after.accounts[BUDGET].charged - before.accounts[BUDGET].charged;
+    assert_eq!(charged, 40 * COST);
+    // 40 requests at once end within two flushes.
+    assert!(
+        after.seq - before.seq <= 3,
+        "{} commits",
+        after.seq - before.seq
+    );
+    stop_and_check(fleet, BUDGET, 41 * COST).await;
+}
