--- a/crates/testkit/tests/spend_failures.rs
+++ b/crates/testkit/tests/spend_failures.rs
@@ -28,6 +28,9 @@
 /// Charge of one request: two words of prompt and eight tokens of answer.
 const COST: Tokens = 10;
 
+/// Upper limit of the hold of one request: the bytes of its body and its largest answer.
+const WORST_CASE: Tokens = 140;
+
 struct Answer {
     status: u16,
     charged: Tokens,
@@ -355,17 +358,38 @@
     }
     tokio::time::sleep(Duration::from_millis(2_500)).await;
     fleet.platform.set_faults(down());
+    let rows = fleet.routers.iter().take(2);
+    let holders: Vec<HolderId> = rows.map(|router| router.state.holder.clone()).collect();
+    fleet.platform.set_faults(FaultPlan::default());
+    let rows = grants(&fleet).await;
+    fleet.platform.set_faults(down());
+    let balance: Tokens = rows
+        .iter()
+        .filter(|row| holders.contains(&row.holder))
+        .map(|row| row.accounts[BUDGET].balance())
+        .sum();
     let mut served = 0;
-    for round in 0..40 {
+    let mut refused = 0;
+    for round in 0..100 {
         let answer = ask(&fleet, round % 2, BUDGET).await;
         billed += answer.charged;
         if answer.status == 200 {
-            served += 1;
-        } else {
-            assert_eq!(answer.body["code"], "tokens_out_of_reach");
+            (served, refused) = (served + 1, 0);
+            continue;
+        }
+        assert_eq!(answer.body["code"], "tokens_out_of_reach");
+        refused += 1;
+        if refused == 2 {
+            break;
         }
     }
-    assert!(served > 0);
+    assert_eq!(refused, 2, "the grants never ended");
+    // Both routers together have less than the worst case of one request left.
+    let left = balance - served * COST;
+    assert!(
+        left < WORST_CASE,
+        "{left} of {balance} tokens are left after {served} requests"
+    );
     fleet.platform.set_faults(FaultPlan::default());
     tokio::time::sleep(Duration::from_millis(2_500)).await;
     let rows = grants(&fleet).await;
@@ -393,8 +417,8 @@
     let dead = fleet.routers[0].state.holder.clone();
     drop(fleet.routers.remove(0));
     fleet.platform.set_faults(FaultPlan::default());
-    let list = json!([{"request": answer.body["id"], "budget": BUDGET, "tokens": answer.charged,
-        "running": false}]);
+    let list = json!([{"request": answer.body["id"], "budget": BUDGET, "state": "ended",
+        "usage": {"total_tokens": answer.charged}}]);
     let row = table(&fleet).read(&log_key(1)).await.unwrap().unwrap();
     let delta: ConfigDelta = serde_json::from_str(&row.value).unwrap();
     let mut records = Vec::new();
@@ -428,7 +452,7 @@
 async fn serve_list(list: Value) -> std::net::SocketAddr {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let answer = move || async move { axum::Json(list) };
+    let answer = move || async move { axum::Json(json!({"streams": list})) };
     let app = axum::Router::new().route("/v1/streams", axum::routing::get(answer));
     tokio::spawn(async move { axum::serve(listener, app).await });
     address
@@ -469,3 +493,25 @@
     billed += other.charged;
     stop_and_check(fleet, BUDGET, billed).await;
 }
+
+/// Guards against a row write for each request; all charges of a flush belong in one commit.
+#[tokio::test]
+async fn charges_are_committed_in_groups() {
+    let fleet = start().await;
+    ask(&fleet, 0, BUDGET).await;
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let before = grants(&fleet).await[0].clone();
+    let answers = join_all((0..40).map(|_| ask(&fleet, 0, BUDGET))).await;
+    assert!(answers.iter().all(|answer| answer.status == 200));
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let after = grants(&fleet).await[0].clone();
+    let charged = after.accounts[BUDGET].charged - before.accounts[BUDGET].charged;
+    assert_eq!(charged, 40 * COST);
+    // 40 requests at once end within two flushes.
+    assert!(
+        after.seq - before.seq <= 3,
+        "{} commits",
+        after.seq - before.seq
+    );
+    stop_and_check(fleet, BUDGET, 41 * COST).await;
+}
