Read stops, models and routes without touching other records

Cause: takes_work runs for every endpoint of every request and went through all records, 450,000 at the target size, to find the stops. Change: ConfigState::of_kind reads one kind as a range of the ordered map. Conclusion: the tests of the workspace pass; the cost no longer depends on the number of budgets.

--- a/crates/core/src/order.rs
+++ b/crates/core/src/order.rs
@@ -10,7 +10,9 @@
     smol_str::SmolStr,
 };
 
-use crate::{ConfigRecord, ConfigState, EndpointId, HolderId, Tokens, record::EndpointKind};
+use crate::{
+    ConfigRecord, ConfigState, EndpointId, HolderId, RecordKind, Tokens, record::EndpointKind,
+};
 
 /// Time after its decision during which an order may be sent. With a read-back every
 /// [`REPAIR_INTERVAL`] or [`REPAIR_INTERVAL_LARGE`], a stale order is gone within 10 s.
@@ -256,7 +258,10 @@
         }
         _ => None,
     };
-    config.records().filter_map(model).collect()
+    config
+        .of_kind(RecordKind::Model)
+        .filter_map(model)
+        .collect()
 }
 
 /// Engines that may run a model: those of its route when it has one.
@@ -265,10 +270,10 @@
     input: &'a PlacementInput,
     model: &'a SmolStr,
 ) -> impl Iterator<Item = &'a EndpointId> {
-    let route = config.records().find_map(|record| match record {
-        ConfigRecord::Route(route) if route.name == *model => Some(&route.endpoints),
+    let route = match config.get(RecordKind::Route, model) {
+        Some(ConfigRecord::Route(route)) => Some(&route.endpoints),
         _ => None,
-    });
+    };
     input
         .engines
         .iter()
--- a/crates/core/src/revision.rs
+++ b/crates/core/src/revision.rs
@@ -192,6 +192,15 @@
         self.records.values().map(Arc::as_ref)
     }
 
+    /// Records of one kind in force, by name; does not touch those of other kinds.
+    pub fn of_kind(&self, kind: RecordKind) -> impl Iterator<Item = &ConfigRecord> {
+        let first = (kind, SmolStr::default());
+        let records = self.records.range(first..);
+        records
+            .take_while(move |((found, _), _)| *found == kind)
+            .map(|(_, record)| record.as_ref())
+    }
+
     /// Record of a kind and name.
     pub fn get(&self, kind: RecordKind, name: &str) -> Option<&ConfigRecord> {
         let record = self.records.get(&(kind, SmolStr::new(name)));
--- a/crates/core/src/stop.rs
+++ b/crates/core/src/stop.rs
@@ -81,7 +81,7 @@
 fn check_routes(config: &ConfigState, wanted: &StopRecord, active: &[&StopRecord]) -> Result<()> {
     let minimum = active.iter().map(|stop| stop.remaining_percent).max();
     let minimum = u64::from(minimum.unwrap_or(0));
-    for record in config.records() {
+    for record in config.of_kind(RecordKind::Route) {
         let ConfigRecord::Route(route) = record else {
             continue;
         };
@@ -124,7 +124,8 @@
 }
 
 fn stops(config: &ConfigState) -> impl Iterator<Item = &StopRecord> {
-    config.records().filter_map(|record| match record {
+    let records = config.of_kind(RecordKind::Stop);
+    records.filter_map(|record| match record {
         ConfigRecord::Stop(stop) => Some(stop),
         _ => None,
     })
--- a/crates/router/src/fleet/placement.rs
+++ b/crates/router/src/fleet/placement.rs
@@ -1,7 +1,7 @@
 //! Places models on engines: numbers orders, sends them, reads back what engines run and repairs.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     sync::Arc,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -15,7 +15,7 @@
         rt::TokioExecutor,
     },
     jasminewall_core::{
-        ConfigRecord, ConfigState, EndpointId,
+        ConfigRecord, ConfigState, EndpointId, RecordKind,
         member::owner_of,
         order::{
             EngineOrder, EngineReport, ModelVersion, ORDER_VALIDITY, OrderRow, PendingOrder,
@@ -71,8 +71,7 @@
 impl PlacementWorker {
     async fn run_round(&mut self) -> anyhow::Result<()> {
         let config = self.state.fleet.config();
-        let is_model = |record: &ConfigRecord| matches!(record, ConfigRecord::Model(_));
-        if !config.records().any(is_model) {
+        if config.of_kind(RecordKind::Model).next().is_none() {
             return Ok(());
         }
         self.read_rows().await?;
@@ -250,14 +249,13 @@
 
 /// Engines that take orders and new work.
 fn engines(state: &RouterState, config: &ConfigState) -> Vec<EndpointRecord> {
-    let mut seen = BTreeSet::new();
     let engine = |record: &ConfigRecord| match record {
         ConfigRecord::Endpoint(endpoint) if takes_orders(record) => Some(endpoint.clone()),
         _ => None,
     };
     config
-        .records()
+        .of_kind(RecordKind::Endpoint)
         .filter_map(engine)
-        .filter(|engine| takes_work(state, engine) && seen.insert(engine.name.clone()))
+        .filter(|engine| takes_work(state, engine))
         .collect()
 }
