Check bills in every scenario and index what shows each guarantee

Cause: routers now write segments, so bills need no exception; a spent budget is now refused with the proof; a scenario router could fail to restart because its port was still bound or taken by another test.

--- a/crates/testkit/src/invariant.rs
+++ b/crates/testkit/src/invariant.rs
@@ -255,10 +255,7 @@
     /// All violations, in the order of the guarantees.
     pub fn violations(&self) -> Vec<InvariantViolation> {
         let mut violations = self.check_tokens();
-        // Routers that write no segments are checked by their rows alone; see `check_told`.
-        if !self.segments.is_empty() {
-            violations.extend(self.check_bills());
-        }
+        violations.extend(self.check_bills());
         violations.extend(self.check_runs());
         violations.extend(self.check_revisions());
         violations
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -19,11 +19,13 @@
     scenario::{
         caller::{CallerOutcome, ScenarioCaller},
         fleet::{SHARDS, ScenarioFleet},
+        gate::CRASH_WORD,
     },
 };
 
 mod caller;
 mod fleet;
+mod gate;
 mod service;
 
 /// Longest time until charges are committed or a revision is in force.
@@ -85,6 +87,17 @@
                 self.fleet.lose_answer(positional(&mut args, "service")?)?;
                 String::new()
             }
+            "endpoint-down" | "endpoint-up" => {
+                let gate = self.fleet.gate(positional(&mut args, "endpoint")?)?;
+                gate.set_closed(command.name == "endpoint-down");
+                String::new()
+            }
+            "silence" => {
+                let gate = self.fleet.gate(positional(&mut args, "endpoint")?)?;
+                gate.silence();
+                String::new()
+            }
+            "crashes" => format!("the endpoints crashed {} times", self.fleet.crashes()),
             "operator" => self.operator(&mut args)?,
             "apply-again" => self.apply_again()?,
             "top-up" => self.top_up(&mut args)?,
@@ -145,14 +158,23 @@
         let tokens = args.lookup_parse("tokens")?.unwrap_or(8);
         let words = args.lookup_parse("words")?.unwrap_or(2);
         let times = args.lookup_parse("times")?.unwrap_or(1);
+        let crash = args.lookup("crash").is_some();
         let budget = args.lookup("budget");
         let vm = args.lookup("at");
         let mut lines = Vec::<(String, u32)>::new();
         for _ in 0..times {
             let address = self.fleet.address(vm.as_deref())?;
-            let ask = self
-                .caller
-                .ask(address, &customer, budget.as_deref(), &route, words, tokens);
+            let mut prompt = vec!["word"; words];
+            prompt.extend(crash.then_some(CRASH_WORD));
+            let prompt = prompt.join(" ");
+            let ask = self.caller.ask(
+                address,
+                &customer,
+                budget.as_deref(),
+                &route,
+                &prompt,
+                tokens,
+            );
             let outcome = self.runtime.block_on(ask);
             let line = self.note(&customer, budget.as_deref(), &outcome);
             match lines.last_mut() {
--- a/crates/testkit/src/scenario/caller.rs
+++ b/crates/testkit/src/scenario/caller.rs
@@ -53,11 +53,11 @@
         customer: &str,
         budget: Option<&str>,
         route: &str,
-        words: usize,
+        prompt: &str,
         tokens: u64,
     ) -> CallerOutcome {
         let body = json!({"model": route, "max_tokens": tokens,
-            "messages": [{"role": "user", "content": vec!["word"; words].join(" ")}]});
+            "messages": [{"role": "user", "content": prompt}]});
         let mut request = Request::post(format!("http://{address}/v1/chat/completions"))
             .header("authorization", format!("Bearer {}", key_of(customer)))
             .header("content-type", "application/json");
--- a/crates/testkit/src/scenario/fleet.rs
+++ b/crates/testkit/src/scenario/fleet.rs
@@ -1,6 +1,11 @@
 //! Fleet of a scenario: declared records, stand-in endpoints, and one runtime for each router.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+    sync::atomic::{AtomicU8, Ordering},
+    time::Duration,
+};
 
 use {
     anyhow::{Context, Result, ensure},
@@ -16,6 +21,7 @@
 use super::{
     NamedArguments,
     caller::{ScenarioCaller, key_of},
+    gate::EndpointGate,
     positional,
     service::RecordingService,
 };
@@ -23,12 +29,18 @@
 
 /// Budget shards of a scenario.
 pub(super) const SHARDS: u32 = 4;
+/// Longest time until the tasks of a crashed router are gone.
+const CRASH_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Number of fleets that this process has started.
+static SCENARIOS: AtomicU8 = AtomicU8::new(0);
 
 pub(super) struct ScenarioFleet {
     platform: MemoryPlatform,
     text: String,
     budgets: BTreeMap<String, Vec<String>>,
     services: BTreeMap<String, RecordingService>,
+    gates: BTreeMap<String, EndpointGate>,
     routers: BTreeMap<String, ScenarioRouter>,
     models: Vec<String>,
 }
@@ -47,6 +59,7 @@
             text: "schema = 2\n".into(),
             budgets: BTreeMap::new(),
             services: BTreeMap::new(),
+            gates: BTreeMap::new(),
             routers: BTreeMap::new(),
             models: vec!["glass-7b".into()],
         }
@@ -108,7 +121,10 @@
     ) -> Result<String> {
         let domain = args.lookup("domain").unwrap_or_else(|| "domain-a".into());
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
+        let gate = EndpointGate::open(listener.local_addr()?).await?;
+        let address = gate.address();
+        self.gates.insert(name.to_owned(), gate);
+        let lists = args.lookup("lists").unwrap_or_else(|| "false".into());
         let runs = if kind == "engine" {
             let models: Vec<&str> = self.models.iter().map(String::as_str).collect();
             tokio::spawn(ModelEngine::new(name, &models).serve(listener));
@@ -120,13 +136,13 @@
             "plain_service"
         };
         Ok(format!(
-            "[[endpoint]]\nname = \"{name}\"\nruns = \"{runs}\"\naddress = \"{address}\"\nfailure_domain = \"{domain}\"\n"
+            "[[endpoint]]\nname = \"{name}\"\nruns = \"{runs}\"\naddress = \"{address}\"\nfailure_domain = \"{domain}\"\nlists_streams = {lists}\n"
         ))
     }
 
     /// Starts routers vm-1 to vm-N, each in a failure domain of its own.
     pub(super) async fn start(&mut self, count: usize) -> Result<()> {
-        let addresses = free_addresses(2 * count)?;
+        let addresses = free_addresses(own_ip(), 2 * count)?;
         let (callers, peers) = addresses.split_at(count);
         for index in 0..count {
             let vm = format!("vm-{}", index + 1);
@@ -165,19 +181,26 @@
             .worker_threads(1)
             .enable_all()
             .build()?;
-        let handle = runtime
-            .spawn(RouterHandle::start(setting, ports))
-            .await
-            .context("the router did not start")??;
-        router.running = Some((runtime, handle));
-        Ok(())
+        let started = runtime.spawn(RouterHandle::start(setting, ports)).await;
+        match started {
+            Ok(Ok(handle)) => {
+                router.running = Some((runtime, handle));
+                Ok(())
+            }
+            failed => {
+                runtime.shutdown_background();
+                failed??;
+                Ok(())
+            }
+        }
     }
 
     /// Ends a router at once, with its connections.
     pub(super) fn crash(&mut self, vm: &str) -> Result<()> {
         let (runtime, handle) = self.take(vm)?;
-        runtime.shutdown_background();
         drop(handle);
+        // The port must be free before the router is started again.
+        runtime.shutdown_timeout(CRASH_TIMEOUT);
         Ok(())
     }
 
@@ -251,6 +274,17 @@
         Ok(())
     }
 
+    /// Gate in front of an endpoint.
+    pub(super) fn gate(&self, endpoint: &str) -> Result<&EndpointGate> {
+        let gate = self.gates.get(endpoint);
+        gate.with_context(|| format!("no endpoint is named '{endpoint}'"))
+    }
+
+    /// Crashes of all endpoints.
+    pub(super) fn crashes(&self) -> u32 {
+        self.gates.values().map(EndpointGate::crashes).sum()
+    }
+
     /// Number of orders that a service ran.
     pub(super) fn runs_of(&self, service: &str) -> usize {
         self.services
@@ -277,10 +311,18 @@
     }
 }
 
+/// Loopback address of one scenario. Outgoing connections use 127.0.0.1, so that no other test can
+/// take a port between its choice and its use, or while a router is down.
+fn own_ip() -> IpAddr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let number = SCENARIOS.fetch_add(1, Ordering::SeqCst) % 254 + 1;
+    IpAddr::from([127, 64 | (high % 64), low, number])
+}
+
 /// Finds free ports, which routers need to know of each other before they start.
-fn free_addresses(count: usize) -> Result<Vec<SocketAddr>> {
+fn free_addresses(ip: IpAddr, count: usize) -> Result<Vec<SocketAddr>> {
     let listeners: Vec<_> = (0..count)
-        .map(|_| std::net::TcpListener::bind("127.0.0.1:0"))
+        .map(|_| std::net::TcpListener::bind((ip, 0)))
         .collect::<std::io::Result<_>>()?;
     let addresses = listeners.iter().map(std::net::TcpListener::local_addr);
     Ok(addresses.collect::<std::io::Result<_>>()?)
--- a/crates/testkit/tests/scenarios.rs
+++ b/crates/testkit/tests/scenarios.rs
@@ -45,4 +45,5 @@
     router_partitioned
     router_crashed
     planned_stop
+    orders_once
 }
