Give each test fleet a loopback address of its own

Cause: tests chose free ports, closed them and bound them again; with several tests at once another one took a port in between, seen as 'address already in use' in fleet_routers and as a panic in the scenario router_crashed.

--- a/crates/testkit/src/caller.rs
+++ b/crates/testkit/src/caller.rs
@@ -25,6 +25,8 @@
     },
 };
 
+use crate::loopback::unique_loopback;
+
 /// Key of the sample customer.
 pub const KEY: &str = "sample-key-parish";
 /// Key of the second sample customer.
@@ -187,7 +189,7 @@
 ///
 /// When the fleet does not start or become ready.
 pub async fn start_fleet(limits: CallerLimits) -> Result<EmbedFleet> {
-    let fleet = EmbedFleet::start_with([127, 0, 0, 1].into(), limits).await?;
+    let fleet = EmbedFleet::start_with(unique_loopback().into(), limits).await?;
     for router in &fleet.routers {
         wait_ready(&router.state).await?;
     }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -8,5 +8,6 @@
 
 pub mod caller;
 pub mod invariant;
+pub mod loopback;
 pub mod scenario;
 pub mod sim;
--- a/crates/testkit/src/scenario/fleet.rs
+++ b/crates/testkit/src/scenario/fleet.rs
@@ -3,7 +3,6 @@
 use std::{
     collections::BTreeMap,
     net::{IpAddr, SocketAddr},
-    sync::atomic::{AtomicU8, Ordering},
     time::Duration,
 };
 
@@ -12,10 +11,14 @@
     goldenscript::ArgumentConsumer,
     jasminewall_core::{Revision, VmId},
     jasminewall_ctl::hash_key,
-    jasminewall_platform::{MemoryPlatform, VmState},
+    jasminewall_platform::{MemoryPlatform, PlatformPorts, VmState},
     jasminewall_router::{RouterHandle, RouterSetting},
     jasminewall_standin::ModelEngine,
-    tokio::{net::TcpListener, runtime::Runtime},
+    tokio::{
+        net::TcpListener,
+        runtime::Runtime,
+        time::{Instant, sleep},
+    },
 };
 
 use super::{
@@ -25,16 +28,17 @@
     positional,
     service::RecordingService,
 };
-use crate::invariant::EndpointRun;
+use crate::{invariant::EndpointRun, loopback::unique_loopback};
 
+/// Longest wait for the address of a crashed run to be free.
+const BIND_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time between two attempts to bind.
+const BIND_INTERVAL: Duration = Duration::from_millis(50);
 /// Budget shards of a scenario.
 pub(super) const SHARDS: u32 = 4;
 /// Longest time until the tasks of a crashed router are gone.
 const CRASH_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Number of fleets that this process has started.
-static SCENARIOS: AtomicU8 = AtomicU8::new(0);
-
 pub(super) struct ScenarioFleet {
     platform: MemoryPlatform,
     text: String,
@@ -142,7 +146,7 @@
 
     /// Starts routers vm-1 to vm-N, each in a failure domain of its own.
     pub(super) async fn start(&mut self, count: usize) -> Result<()> {
-        let addresses = free_addresses(own_ip(), 2 * count)?;
+        let addresses = free_addresses(unique_loopback().into(), 2 * count)?;
         let (callers, peers) = addresses.split_at(count);
         for index in 0..count {
             let vm = format!("vm-{}", index + 1);
@@ -181,7 +185,8 @@
             .worker_threads(1)
             .enable_all()
             .build()?;
-        let started = runtime.spawn(RouterHandle::start(setting, ports)).await;
+        let start = start_when_free(setting, ports);
+        let started = runtime.spawn(start).await;
         match started {
             Ok(Ok(handle)) => {
                 router.running = Some((runtime, handle));
@@ -311,12 +316,16 @@
     }
 }
 
-/// Loopback address of one scenario. Outgoing connections use 127.0.0.1, so that no other test can
-/// take a port between its choice and its use, or while a router is down.
-fn own_ip() -> IpAddr {
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    let number = SCENARIOS.fetch_add(1, Ordering::SeqCst) % 254 + 1;
-    IpAddr::from([127, 64 | (high % 64), low, number])
+/// Starts a router, again while its address is taken: the tasks of a crashed run, which hold the
+/// sockets, end a moment after the crash.
+async fn start_when_free(setting: RouterSetting, ports: PlatformPorts) -> Result<RouterHandle> {
+    let deadline = Instant::now() + BIND_TIMEOUT;
+    loop {
+        match RouterHandle::start(setting.clone(), ports.clone()).await {
+            Err(_) if Instant::now() < deadline => sleep(BIND_INTERVAL).await,
+            started => return started,
+        }
+    }
 }
 
 /// Finds free ports, which routers need to know of each other before they start.
--- a/crates/testkit/tests/fleet_routers.rs
+++ b/crates/testkit/tests/fleet_routers.rs
@@ -28,6 +28,7 @@
     jasminewall_platform::{FaultPlan, MemoryPlatform, RowWrite, TransactOutcome, VmState},
     jasminewall_router::{RouterHandle, RouterSetting, StopPlan},
     jasminewall_standin::{ModelEngine, OrderBook},
+    jasminewall_testkit::loopback::unique_loopback,
     jasminewall_wire::PeerServiceClient,
     serde_json::{Value, json},
     tokio::{net::TcpListener, task::JoinSet},
@@ -183,8 +184,9 @@
 }
 
 fn settings(count: usize) -> Vec<RouterSetting> {
+    let ip = unique_loopback();
     let listeners: Vec<_> = (0..count)
-        .map(|_| std::net::TcpListener::bind("127.0.0.1:0").unwrap())
+        .map(|_| std::net::TcpListener::bind((ip, 0)).unwrap())
         .collect();
     let addresses: Vec<SocketAddr> = listeners
         .iter()
@@ -196,7 +198,7 @@
         let peers: Vec<String> = others.map(ToString::to_string).collect();
         let domain = ["domain-a", "domain-b", "domain-c"][index % 3];
         format!(
-            "[router]\nvm = vm-{index}\nfailure_domain = {domain}\nlisten = 127.0.0.1:0\n\
+            "[router]\nvm = vm-{index}\nfailure_domain = {domain}\nlisten = {ip}:0\n\
              peer_listen = {}\n[fleet]\npeers = {}\nsecret = {SECRET}\nshards = 4\n\
              [platform]\naddress = 127.0.0.1:1\n",
             own,
--- a/crates/testkit/tests/spend_failures.rs
+++ b/crates/testkit/tests/spend_failures.rs
@@ -19,6 +19,7 @@
     },
     jasminewall_platform::{FaultPlan, RowWrite, TablePort},
     jasminewall_router::EmbedFleet,
+    jasminewall_testkit::loopback::unique_loopback,
     serde_json::{Value, json},
 };
 
@@ -53,7 +54,7 @@
 /// time can take one of them in between.
 async fn start_embedded() -> EmbedFleet {
     loop {
-        match EmbedFleet::start("127.0.0.1".parse().unwrap()).await {
+        match EmbedFleet::start(unique_loopback().into()).await {
             Ok(fleet) => return fleet,
             Err(error) => {
                 let error = error.downcast::<std::io::Error>().unwrap();
