--- a/crates/router/src/api.rs
+++ b/crates/router/src/api.rs
@@ -38,10 +38,14 @@
 mod execute;
 mod once;
 mod problems;
+#[cfg(test)]
+mod problems_test;
 mod relay;
 mod resume;
 mod services;
 mod sse;
+#[cfg(test)]
+mod sse_test;
 mod tickets;
 
 /// Longest time to connect to an engine or router; a partition would otherwise hold callers.
