Say how much of a budget is left when it does not cover a request

Change: the refusal budget_spent names the rest and the worst case of the request; the standard sentence remains for a budget with nothing left. Conclusion: the sentence that callers read is true.

--- a/crates/router/src/spend/refill.rs
+++ b/crates/router/src/spend/refill.rs
@@ -161,7 +161,7 @@
 pub(super) async fn view(state: &RouterState, budget: &BudgetId, amount: Tokens) -> RestView {
     match read_rest(state, budget).await {
         Ok(Some(rest)) if rest.total() < amount => RestView {
-            refusal: RefusalCode::BudgetSpent.into(),
+            refusal: spent(rest.total(), amount),
             is_spent: true,
             holders: BTreeSet::new(),
         },
@@ -179,6 +179,18 @@
     }
 }
 
+/// Refusal of a request that all tokens left of the budget do not cover.
+fn spent(left: Tokens, amount: Tokens) -> Refusal {
+    let refusal = Refusal::new(RefusalCode::BudgetSpent);
+    if left == 0 {
+        return refusal;
+    }
+    refusal.note(format!(
+        "The budget has {left} tokens left and the request may need {amount}; top it up, or ask \
+         for fewer tokens."
+    ))
+}
+
 /// Tokens of a budget that are not charged, by where they are.
 struct BudgetRest {
     free: Tokens,
--- a/crates/testkit/tests/spend_failures.rs
+++ b/crates/testkit/tests/spend_failures.rs
@@ -242,6 +242,9 @@
         }
     };
     assert_eq!(spent.body["code"], "budget_spent", "{}", spent.body);
+    let left = format!("{} tokens left", 200 - billed);
+    let detail = spent.body["detail"].as_str().unwrap();
+    assert!(detail.contains(&left), "{detail}");
     fleet.platform.set_faults(down());
     let refused = ask(&fleet, 0, BUDGET).await;
     assert_eq!(refused.body["code"], "tokens_out_of_reach");
