--- a/crates/router/src/spend/refill.rs
+++ b/crates/router/src/spend/refill.rs
@@ -161,7 +161,7 @@
 pub(super) async fn view(state: &RouterState, budget: &BudgetId, amount: Tokens) -> RestView {
     match read_rest(state, budget).await {
         Ok(Some(rest)) if rest.total() < amount => RestView {
-            refusal: spent(rest.total(), amount),
+            refusal: spent_refusal(rest.total(), amount),
             is_spent: true,
             holders: BTreeSet::new(),
         },
@@ -179,15 +179,15 @@
     }
 }
 
-/// Refusal of a request that all tokens left of the budget do not cover.
-fn spent(left: Tokens, amount: Tokens) -> Refusal {
+/// Refusal of a request that all tokens left of the budget together do not cover.
+fn spent_refusal(left: Tokens, amount: Tokens) -> Refusal {
     let refusal = Refusal::new(RefusalCode::BudgetSpent);
     if left == 0 {
         return refusal;
     }
     refusal.note(format!(
-        "The budget has {left} tokens left and the request may need {amount}; top it up, or ask \
-         for fewer tokens."
+        "The budget has {left} tokens left and the request may need {amount}; top the budget up or \
+         ask for fewer tokens."
     ))
 }
 
