Test that a resumed stream is charged by the peer call

Cause: in the test of a resumed stream the holder's own relay ended too, so the charge did not prove that the peer call works.

Change: a test in which the holder's relay is stuck behind a caller that does not read.

Conclusion: the charge of a resumed stream reaches its holder.

--- a/crates/testkit/tests/caller_completions.rs
+++ b/crates/testkit/tests/caller_completions.rs
@@ -340,6 +340,36 @@
     assert_eq!(stop(fleet).await, 102);
 }
 
+/// The holder's own relay is stuck behind a caller that does not read, so only the peer call can
+/// have charged the stream.
+#[tokio::test]
+async fn resumed_stream_is_charged_by_the_peer_call() {
+    let (fleet, client) = start().await;
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let fault =
+        json!({"stream": true, "max_tokens": 600, "standin": {"token_ms": 1, "pad": 65536}});
+    let body = completion(&fault).to_string();
+    let response = client.open(Method::POST, PATH, &[], body).await.unwrap();
+    let token = response.headers()["x-jasminewall-resume"]
+        .to_str()
+        .unwrap()
+        .to_owned();
+    let other = CallerClient::new(fleet.routers[1].address);
+    let rest = resume(&other, &token, "2").await;
+    assert_eq!(token_indexes(&rest.text()), (3..600).collect::<Vec<_>>());
+    let mut charged = 0;
+    for _ in 0..40 {
+        charged = charged_total(&fleet.platform).await.unwrap();
+        if charged > 0 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(charged, 602);
+    drop(response);
+    assert_eq!(stop(fleet).await, 602);
+}
+
 #[test]
 fn stream_survives_the_crash_of_its_router() {
     let runtime = tokio::runtime::Runtime::new().unwrap();
