Test status and name the missing setting

Cause: status had no test, and without router addresses in the settings it only said that no router can be reached.

Change: status names the setting to add; a test covers routers that are current, behind, silent and stopped.

Conclusion: each exit code of status is shown by a test.

--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -45,7 +45,14 @@
             let vms = self.ask_vms().await?;
             let behind = vms.iter().any(|vm| vm.revision != Some(head));
             if !behind || Instant::now() >= deadline {
-                return Ok(report(head, &vms));
+                let mut report = report(head, &vms);
+                let silent = vms.iter().any(|vm| vm.revision.is_none());
+                if silent && self.routers.is_empty() {
+                    report.text.push_str(
+                        "\nThe settings list no routers; add their addresses as [fleet] routers.",
+                    );
+                }
+                return Ok(report);
             }
             tokio::time::sleep(ROUND_WAIT).await;
         }
--- a/crates/ctl/tests/control.rs
+++ b/crates/ctl/tests/control.rs
@@ -1,6 +1,6 @@
 //! Guards against changes that are half applied, applied twice, lost or explained wrongly.
 
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 
 use {
     jasminewall_core::{
@@ -15,6 +15,10 @@
     },
     jasminewall_platform::{FaultPlan, MemoryPlatform, ObjectPort, RowWrite, TablePort},
     serde_json::json,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+    },
 };
 
 const SHARDS: u32 = 4;
@@ -345,3 +349,51 @@
     assert_eq!(error.exit(), ExitKind::Usage);
     insta::assert_snapshot!(error.to_string());
 }
+
+/// Answers every request on a free port as a router with this name and revision would.
+async fn router(vm: &str, revision: u64) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let body = json!({"vm": vm, "revision": revision}).to_string();
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
+        body.len()
+    );
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 1024];
+            let _ = stream.read(&mut request).await;
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    address
+}
+
+/// Guards against a status that calls a revision in force where a router is behind or silent.
+#[tokio::test]
+async fn status_names_each_vm() {
+    let platform = MemoryPlatform::new();
+    apply(&platform, BASE).await.unwrap();
+    let rows = ["vm-1", "vm-2", "vm-3"].map(|vm| RowWrite::create(format!("vm/{vm}"), "{}"));
+    platform.transact(rows.to_vec()).await.unwrap();
+    let gone = RowWrite::create("vm/vm-0", "{\"stopped\":true}");
+    platform.transact(vec![gone]).await.unwrap();
+    let mut lines = Vec::new();
+    for (third, exit) in [
+        (1, ExitKind::Done),
+        (0, ExitKind::Refused),
+        (9, ExitKind::Unreachable),
+    ] {
+        let mut routers = vec![router("vm-1", 1).await, router("vm-2", 1).await];
+        if third < 9 {
+            routers.push(router("vm-3", third).await);
+        }
+        let client = client(&platform).with_routers(routers);
+        let wait = Some(Duration::from_millis(300));
+        let report = client.status(wait).await.unwrap();
+        assert_eq!(report.exit, exit, "{}", report.text);
+        lines.push(report.text);
+    }
+    lines.push(client(&platform).status(None).await.unwrap().text);
+    insta::assert_snapshot!(lines.join("\n---\n"));
+}
