Dispatch through admission, choice, retries and suspects

Cause: the router sent every request at once to one endpoint and gave up at the first failure.

Change: execute queues a job, logs the choice, retries connect failures elsewhere and other failures only for idempotent routes within the retry budget, gives up silent connections, counts crashes per fingerprint and reporter, and reruns suspects alone. SuspectReport names its reporter, so that counts of several routers add up however often they are exchanged.

Conclusion: peers still have to be sent the counts that merge_suspects returns.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -297,6 +297,28 @@
         None
     }
 
+    /// Counts a request that starts without waiting in the queue, such as an isolated suspect.
+    pub fn start_directly(
+        &mut self,
+        customer: &CustomerId,
+        weight: u32,
+        class: WorkClass,
+        work: Tokens,
+    ) {
+        let state = &mut self.classes[class.index()];
+        state.running += 1;
+        let clock = self.clock;
+        let account = self
+            .accounts
+            .entry(customer.clone())
+            .or_insert_with(|| CustomerAccount::new(weight));
+        if account.is_idle() {
+            account.service = account.service.max(clock);
+        }
+        account.running += 1;
+        account.charge(work);
+    }
+
     /// Counts the end of an admitted request. `actual` replaces the expected work in the
     /// customer's service, so that a customer with misjudged lengths gets no advantage.
     pub fn finish(
@@ -346,6 +368,11 @@
         };
     }
 
+    /// Whether no request waits or runs.
+    pub fn is_idle(&self) -> bool {
+        self.accounts.values().all(CustomerAccount::is_idle)
+    }
+
     /// Number of requests that wait.
     pub fn waiting(&self) -> usize {
         self.classes.iter().map(|class| class.waiting).sum()
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -165,7 +165,33 @@
             }
         }
         let sample = index::sample(rng, pool.len(), pool.len().min(SAMPLE_LIMIT)).into_vec();
-        self.compare(pool, &sample, need, &takes_work, now, rng, &mut examined)
+        let found = self.compare(pool, &sample, need, &takes_work, now, rng, &mut examined);
+        if found.is_none() && need.isolate {
+            self.keep_one_free(pool, &sample, need, &takes_work, now);
+        }
+        found
+    }
+
+    /// Keeps new work away from the endpoint that will be free first, for a suspect to run alone.
+    fn keep_one_free(
+        &mut self,
+        pool: &EndpointPool,
+        sample: &[usize],
+        need: &WorkNeed<'_>,
+        takes_work: &impl Fn(&EndpointId) -> bool,
+        now: Instant,
+    ) {
+        let endpoints = sample.iter().map(|index| pool.endpoint(*index));
+        let usable = endpoints.filter(|one| !need.avoid.contains(one) && takes_work(one));
+        let first = usable.min_by_key(|endpoint| {
+            let stats = self.stats.get(*endpoint);
+            stats.map_or((true, 0), |stats| {
+                (!stats.is_kept_free(now), stats.outstanding())
+            })
+        });
+        if let Some(stats) = first.and_then(|endpoint| self.stats.get_mut(endpoint)) {
+            stats.keep_free(now);
+        }
     }
 
     /// Endpoint of a pool that should get a copy of a short request, to learn whether it is still
@@ -279,16 +305,17 @@
     ) -> Option<EndpointChoice> {
         let mut found: Vec<Candidate<'_>> = Vec::with_capacity(2);
         let mut passed: Option<Candidate<'_>> = None;
+        let mut healthy = false;
         for index in sample {
             *examined += 1;
             let endpoint = pool.endpoint(*index);
             if need.avoid.contains(endpoint) || !takes_work(endpoint) {
                 continue;
             }
-            let Some(candidate) = self.candidate(pool, *index, need, now) else {
-                continue;
-            };
+            let candidate = self.candidate(pool, *index, need, now);
             let weight = self.stats.get(endpoint).map_or(1.0, EndpointStats::weight);
+            healthy |= weight >= PROBE_WEIGHT;
+            let Some(candidate) = candidate else { continue };
             if weight < 1.0 && rng.random::<f64>() >= weight {
                 // A slow endpoint is passed over, but stays better than no endpoint at all for
                 // work that would otherwise wait.
@@ -305,7 +332,7 @@
                 break;
             }
         }
-        if found.is_empty() && pool.is_short_of_room() {
+        if found.is_empty() && (!healthy || pool.is_short_of_room()) {
             found.extend(passed);
         }
         decide(found, need, *examined)
--- a/crates/core/src/choice/stats.rs
+++ b/crates/core/src/choice/stats.rs
@@ -41,6 +41,9 @@
 /// Silence of long work from which it counts as held back by the endpoint.
 const LONG_PAUSE: Duration = Duration::from_secs(1);
 
+/// Time for which an endpoint is kept free for a suspect. The suspect's router renews it.
+const KEEP_FREE: Duration = Duration::from_millis(500);
+
 /// Number of one open request at an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct WorkId(pub(super) u64);
@@ -96,6 +99,7 @@
     open: Vec<OpenWork>,
     report: Option<LoadReport>,
     hints: VecDeque<u64>,
+    kept_free: Option<Instant>,
 }
 
 impl EndpointStats {
@@ -119,6 +123,7 @@
             open: Vec::new(),
             report: None,
             hints: VecDeque::new(),
+            kept_free: None,
         }
     }
 
@@ -302,7 +307,7 @@
         if need.isolate {
             return self.open.is_empty();
         }
-        if self.open.iter().any(|work| work.isolated) {
+        if self.is_kept_free(now) || self.open.iter().any(|work| work.isolated) {
             return false;
         }
         let open = self.open.len() as f64;
@@ -317,6 +322,15 @@
         }
     }
 
+    /// Keeps new work away for a moment, so that a suspect can run alone once the open work ends.
+    pub(super) fn keep_free(&mut self, now: Instant) {
+        self.kept_free = Some(now + KEEP_FREE);
+    }
+
+    pub(super) fn is_kept_free(&self, now: Instant) -> bool {
+        self.kept_free.is_some_and(|until| until > now)
+    }
+
     /// Whether long work of this router waits or is paused at the endpoint. More of it would wait
     /// there unseen, where its deadline cannot be judged.
     fn holds_back_long(&self, now: Instant) -> bool {
--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -5,6 +5,8 @@
     time::{Duration, Instant},
 };
 
+use xxhash_rust::xxh3::Xxh3;
+
 use crate::HolderId;
 
 /// Crashes after which a request is refused.
@@ -15,6 +17,17 @@
 /// Largest number of fingerprints kept; the oldest go first.
 const FINGERPRINT_LIMIT: usize = 10_000;
 
+/// Hash of the parts of a request that decide what an endpoint runs, such as customer, route and
+/// body; never 0.
+pub fn fingerprint(parts: &[&[u8]]) -> u64 {
+    let mut hash = Xxh3::new();
+    for part in parts {
+        hash.update(part);
+        hash.update(&[0xff]);
+    }
+    hash.digest().max(1)
+}
+
 /// What may be done with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SuspectVerdict {
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -1,52 +1,31 @@
 //! Sends requests to endpoints: admission, choice, retries and observation.
 
-use std::{
-    collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Instant,
-};
+use std::{sync::Arc, time::Instant};
 
 use {
     axum::{
-        body::{Body, Bytes},
-        http::{HeaderMap, Method, Request, Response},
+        body::Bytes,
+        http::{HeaderMap, Method, Response},
     },
     hyper::body::Incoming,
-    hyper_util::{
-        client::legacy::{Client, connect::HttpConnector},
-        rt::TokioExecutor,
-    },
     jasminewall_core::{
-        ConfigRecord, CustomerId, EndpointId, RecordKind, Refusal, RefusalCode, RequestId, Tokens,
+        CustomerId, EndpointId, Refusal, RefusalCode, RequestId, Tokens,
         admission::WorkClass,
-        choice::{EndpointPool, EndpointTable, WorkId, WorkNeed},
+        life::{AttemptFailure, LifeEvent, RequestLife},
         record::{EndpointRecord, RouteRecord},
+        suspect::{self, CrashCount, SuspectVerdict},
     },
     jasminewall_wire::SuspectReport,
 };
 
-use crate::{spend, state::RouterState};
+use crate::state::RouterState;
 
-/// What the router knows of endpoints.
-pub(crate) struct RoutingTable {
-    client: Client<HttpConnector, Body>,
-    endpoints: Mutex<EndpointTable>,
-}
-
-impl RoutingTable {
-    pub(crate) fn new() -> Self {
-        Self {
-            client: Client::builder(TokioExecutor::new()).build_http(),
-            endpoints: Mutex::default(),
-        }
-    }
+pub(crate) use self::{guard::WorkGuard, table::RoutingTable};
 
-    fn endpoints(&self) -> MutexGuard<'_, EndpointTable> {
-        self.endpoints
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-}
+mod attempt;
+mod guard;
+mod queue;
+mod table;
 
 /// Request that is ready for an endpoint: authenticated, and its tokens held.
 #[derive(Clone, Debug)]
@@ -63,7 +42,7 @@
     pub(crate) work: Tokens,
     /// Time by which the answer must be whole.
     pub(crate) deadline: Instant,
-    /// Hash of customer, route and body.
+    /// Hash of customer, route and body; 0 when it is not known.
     pub(crate) fingerprint: u64,
     /// Method at the endpoint.
     pub(crate) method: Method,
@@ -85,130 +64,137 @@
     pub(crate) guard: WorkGuard,
 }
 
-/// Counts a request as outstanding at an endpoint until it ends.
-pub(crate) struct WorkGuard {
-    state: Arc<RouterState>,
-    endpoint: EndpointId,
-    work: WorkId,
+/// Sends a job to an endpoint of its route and waits for the head of the answer.
+///
+/// # Errors
+///
+/// A refusal whose code says whether the job ran.
+pub(crate) async fn execute(
+    state: &Arc<RouterState>,
+    job: &DispatchJob,
+) -> Result<DispatchAnswer, Refusal> {
+    let mut life = RequestLife::new(job.route.idempotent);
+    let verdict = state.routing.verdict(fingerprint_of(job));
+    if verdict == SuspectVerdict::Refuse {
+        return Err(RefusalCode::CrashesEndpoints.into());
+    }
+    let (record, mut guard) = queue::admit(state, job, verdict == SuspectVerdict::Isolate).await?;
+    begin(&mut life, job);
+    let mut record = record;
+    loop {
+        note(&mut life, LifeEvent::Dispatch);
+        let failure = match attempt::send(state, job, &record).await {
+            Ok(response) => {
+                note(&mut life, LifeEvent::Answer);
+                return Ok(DispatchAnswer {
+                    endpoint: record.name,
+                    response,
+                    guard: guard.attend(life),
+                });
+            }
+            Err(failure) => failure,
+        };
+        note(&mut life, LifeEvent::Fail(failure));
+        guard.end_attempt(failure);
+        if failure == AttemptFailure::Broken {
+            attempt::note_break(state, &record, &[fingerprint_of(job)], true).await;
+        }
+        record = next_place(state, job, &life, &mut guard, (&record, failure)).await?;
+    }
+}
+
+/// Merges crash counts from a peer and returns all that this router knows.
+pub(crate) fn merge_suspects(state: &RouterState, reports: &[SuspectReport]) -> Vec<SuspectReport> {
+    let counts: Vec<CrashCount> = reports.iter().map(count_of).collect();
+    let mut suspects = state.routing.suspects();
+    suspects.merge(&counts, Instant::now());
+    suspects.counts().into_iter().map(report_of).collect()
 }
 
-impl WorkGuard {
-    /// Notes that the endpoint sent part of the answer.
-    pub(crate) fn progress(&mut self) {
-        let mut table = self.state.routing.endpoints();
-        let _first = table.progress(&self.endpoint, self.work, 1, Instant::now());
+fn count_of(report: &SuspectReport) -> CrashCount {
+    CrashCount {
+        reporter: report.reporter.clone(),
+        fingerprint: report.fingerprint,
+        crashes: report.crashes,
+        cleared: report.cleared,
     }
+}
 
-    /// Notes that the whole answer arrived.
-    pub(crate) fn complete(self) {}
+fn report_of(count: CrashCount) -> SuspectReport {
+    SuspectReport {
+        reporter: count.reporter,
+        fingerprint: count.fingerprint,
+        crashes: count.crashes,
+        cleared: count.cleared,
+    }
+}
 
-    /// Notes that the endpoint broke off.
-    pub(crate) fn fail(self) {
-        let mut table = self.state.routing.endpoints();
-        table.fail(&self.endpoint, self.work, Instant::now());
+/// Hash of customer, route and body of a job.
+fn fingerprint_of(job: &DispatchJob) -> u64 {
+    if job.fingerprint != 0 {
+        return job.fingerprint;
     }
+    suspect::fingerprint(&[
+        job.customer.as_bytes(),
+        job.route.name.as_bytes(),
+        &job.body,
+    ])
 }
 
-impl Drop for WorkGuard {
-    fn drop(&mut self) {
-        let mut table = self.state.routing.endpoints();
-        table.finish(&self.endpoint, self.work, None, Instant::now());
+/// Brings a life to the point of its first dispatch. The caller of `execute` placed the hold and,
+/// for a route that is not idempotent, the claim.
+fn begin(life: &mut RequestLife, job: &DispatchJob) {
+    note(life, LifeEvent::Admit);
+    note(life, LifeEvent::Hold);
+    if !job.route.idempotent {
+        note(life, LifeEvent::Claim);
     }
 }
 
-/// Sends a job to an endpoint of its route and waits for the head of the answer.
-///
-/// # Errors
-///
-/// A refusal whose code says whether the job ran.
-pub(crate) async fn execute(
+fn note(life: &mut RequestLife, event: LifeEvent) {
+    if let Err(error) = life.apply(event) {
+        tracing::error!(%error, "the life of a request took an impossible turn; report this fault");
+    }
+}
+
+/// Finds an endpoint for another attempt, when one is allowed.
+async fn next_place(
     state: &Arc<RouterState>,
     job: &DispatchJob,
-) -> Result<DispatchAnswer, Refusal> {
-    let (endpoint, work) = pick(state, job)?;
-    let mut outgoing = Request::builder()
-        .method(job.method.clone())
-        .uri(format!("http://{}{}", endpoint.address, job.path))
-        .body(Body::from(job.body.clone()))
-        .map_err(|_| RefusalCode::InvalidRequest)?;
-    *outgoing.headers_mut() = job.headers.clone();
-    spend::note_endpoint(state, &job.request, &endpoint.name);
-    let guard = WorkGuard {
-        state: state.clone(),
-        endpoint: endpoint.name.clone(),
-        work,
-    };
-    match state.routing.client.request(outgoing).await {
-        Ok(response) => Ok(DispatchAnswer {
-            endpoint: endpoint.name,
-            response,
-            guard,
-        }),
-        Err(error) => {
-            tracing::warn!(request = %job.request, endpoint = %endpoint.name, %error, "request to the endpoint failed");
-            let code = if error.is_connect() {
-                RefusalCode::EndpointUnreachable
-            } else {
-                RefusalCode::OutcomeUnknown
-            };
-            Err(code.into())
-        }
+    life: &RequestLife,
+    guard: &mut WorkGuard,
+    last: (&EndpointRecord, AttemptFailure),
+) -> Result<EndpointRecord, Refusal> {
+    let (failed, failure) = last;
+    let verdict = state.routing.verdict(fingerprint_of(job));
+    if verdict == SuspectVerdict::Refuse {
+        return Err(RefusalCode::CrashesEndpoints.into());
+    }
+    let allowed = life.may_dispatch() && (failure.is_proof() || state.routing.withdraw_retry());
+    if !allowed {
+        return Err(refusal_of(life));
+    }
+    // A silent connection says nothing of the endpoint, which may be tried again on a new one.
+    if failure != AttemptFailure::Silent {
+        guard.avoid(failed.name.clone());
+    }
+    let isolate = verdict == SuspectVerdict::Isolate;
+    match queue::place_again(state, job, guard, isolate).await {
+        Some(record) => Ok(record),
+        None => Err(refusal_of(life)),
     }
 }
 
-/// Merges crash counts from a peer and returns this router's own.
-pub(crate) fn merge_suspects(
-    _state: &RouterState,
-    _reports: &[SuspectReport],
-) -> Vec<SuspectReport> {
-    Vec::new()
+/// Refusal of a job that is given up, with a code that is true for all its attempts.
+fn refusal_of(life: &RequestLife) -> Refusal {
+    if life.is_unrun() {
+        RefusalCode::EndpointUnreachable.into()
+    } else {
+        RefusalCode::OutcomeUnknown.into()
+    }
 }
 
-/// Chooses an endpoint of a route and logs the decision.
-fn pick(state: &RouterState, job: &DispatchJob) -> Result<(EndpointRecord, WorkId), Refusal> {
-    let config = state.fleet.config();
-    let records: HashMap<&EndpointId, &EndpointRecord> = job
-        .route
-        .endpoints
-        .iter()
-        .filter_map(|name| match config.get(RecordKind::Endpoint, name) {
-            Some(ConfigRecord::Endpoint(record)) if !record.leaving => Some((name, record)),
-            _ => None,
-        })
-        .collect();
-    let members = records
-        .iter()
-        .map(|(name, record)| ((*name).clone(), record.slots));
-    let mut pool = EndpointPool::new(members);
-    let need = WorkNeed {
-        class: job.class,
-        work: job.work,
-        prompt: job.body.len() as Tokens,
-        prefix: None,
-        isolate: false,
-        avoid: &[],
-    };
-    let now = Instant::now();
-    let mut table = state.routing.endpoints();
-    let choice = table
-        .choose(&mut pool, &need, |_| true, now, &mut rand::rng())
-        .ok_or(RefusalCode::NoEndpoint)?;
-    tracing::info!(
-        request = %job.request,
-        customer = %job.customer,
-        route = %job.route.name,
-        class = ?job.class,
-        fingerprint = job.fingerprint,
-        time_left = ?job.deadline.saturating_duration_since(now),
-        revision = config.revision(),
-        choice = %choice.endpoint,
-        runner_up = choice.runner_up.as_deref().unwrap_or("none"),
-        reason = choice.reason.as_str(),
-        "endpoint chosen"
-    );
-    let record = records
-        .get(&choice.endpoint)
-        .ok_or(RefusalCode::NoEndpoint)?;
-    let work = table.begin(&choice.endpoint, &need, now);
-    Ok(((*record).clone(), work))
+/// Whether an endpoint may get new work.
+fn takes_work(_state: &RouterState, record: &EndpointRecord) -> bool {
+    !record.leaving
 }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -38,7 +38,7 @@
         Self {
             spend: SpendTable::new(holder.clone()),
             fleet: FleetTable::default(),
-            routing: RoutingTable::new(),
+            routing: RoutingTable::new(holder.clone()),
             stop: CancellationToken::new(),
             setting,
             holder,
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -54,6 +54,8 @@
 /// Crash count of a request fingerprint.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectReport {
+    /// Router run that saw the crashes. Counts of several reporters add up.
+    pub reporter: HolderId,
     /// Hash of customer, route and body.
     pub fingerprint: u64,
     /// Endpoint crashes while the request was open on them.
