--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -65,7 +65,7 @@
         Self {
             spend: SpendTable::new(holder.clone()),
             fleet: FleetTable::new(&holder, setting.failure_domain.clone()),
-            routing: RoutingTable::new(),
+            routing: RoutingTable::new(holder.clone()),
             links: PeerLinks::default(),
             drain: CancellationToken::new(),
             metrics: RouterMetrics::new(&setting.vm, setting.metrics),
