--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -53,14 +53,16 @@
 
 /// Time at which a second attempt is sent beside a silent first one; `None` when it must not be.
 ///
-/// `usual` is the 95th percentile of the time to the first token.
+/// `usual` is the 95th percentile of the time to the first token. No hedge is sent while other
+/// requests wait, as it would take their place.
 pub fn hedge_at(
     class: WorkClass,
     idempotent: bool,
+    waiting: usize,
     usual: Option<Duration>,
     sent: Instant,
 ) -> Option<Instant> {
-    if class != WorkClass::Short || !idempotent {
+    if class != WorkClass::Short || !idempotent || waiting > 0 {
         return None;
     }
     Some(sent + (usual? * HEDGE_FACTOR).max(HEDGE_WAIT_MIN))
--- a/crates/testkit/src/sim/routing/router.rs
+++ b/crates/testkit/src/sim/routing/router.rs
@@ -197,7 +197,13 @@
     }
 
     pub(super) fn hedge_at(&self, load: &LoadRequest, now: Instant) -> Option<Instant> {
-        retry::hedge_at(load.class, true, self.table.usual_first_token(), now)
+        retry::hedge_at(
+            load.class,
+            true,
+            self.queue.waiting(),
+            self.table.usual_first_token(),
+            now,
+        )
     }
 
     pub(super) fn hedge(
--- a/crates/testkit/tests/routing_endpoints.rs
+++ b/crates/testkit/tests/routing_endpoints.rs
@@ -1,5 +1,10 @@
 //! Guards the router against endpoints that refuse, crash or fall silent, with real connections.
 
+#![expect(
+    clippy::unwrap_used,
+    reason = "a failed step of the set-up fails the test"
+)]
+
 use std::{
     net::SocketAddr,
     sync::{
