Share crash counts of requests between routers

Cause: each router counted crashes alone, so a caller that sent a fatal request to three routers could crash six endpoints; the bound is two. Change: a counted crash is sent to all peers in reach before the request may run again; a peer answers with its counts of the same fingerprints. Conclusion: the bound holds where routers can talk; two routers that run the same request for the first time at once may still crash one endpoint each before they hear of each other.

--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -25,6 +25,7 @@
 mod attempt;
 mod guard;
 mod queue;
+mod share;
 mod table;
 
 /// Request that is ready for an endpoint: authenticated, and its tokens held.
@@ -103,12 +104,16 @@
     }
 }
 
-/// Merges crash counts from a peer and returns all that this router knows.
+/// Merges crash counts from a peer and returns what this router knows of the same fingerprints.
 pub(crate) fn merge_suspects(state: &RouterState, reports: &[SuspectReport]) -> Vec<SuspectReport> {
     let counts: Vec<CrashCount> = reports.iter().map(count_of).collect();
     let mut suspects = state.routing.suspects();
     suspects.merge(&counts, Instant::now());
-    suspects.counts().into_iter().map(report_of).collect()
+    let known = suspects.counts().into_iter().filter(|count| {
+        let mut asked = reports.iter();
+        asked.any(|report| report.fingerprint == count.fingerprint)
+    });
+    known.map(report_of).collect()
 }
 
 fn count_of(report: &SuspectReport) -> CrashCount {
--- a/crates/router/src/dispatch/attempt.rs
+++ b/crates/router/src/dispatch/attempt.rs
@@ -13,7 +13,7 @@
     },
 };
 
-use super::DispatchJob;
+use super::{DispatchJob, share};
 use crate::{spend, state::RouterState};
 
 /// Longest time to connect to an endpoint that may have crashed.
@@ -126,6 +126,7 @@
     tracing::warn!(endpoint = %endpoint.name, refused, repeated, suspects = ?known, "the endpoint crashed with requests open");
     state.routing.abandon_connections(&endpoint.name);
     state.routing.suspects().crash(&known, now);
+    share::share(state, &known).await;
 }
 
 impl RouterState {
--- a/crates/testkit/tests/routing_endpoints.rs
+++ b/crates/testkit/tests/routing_endpoints.rs
@@ -29,6 +29,7 @@
     jasminewall_platform::RowWrite,
     jasminewall_router::EmbedFleet,
     jasminewall_standin::ModelEngine,
+    jasminewall_testkit::loopback::unique_loopback,
     serde_json::{Value, json},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -118,9 +119,7 @@
 
 impl FaultFleet {
     async fn start(endpoints: &[SocketAddr], slots: u32) -> Self {
-        let fleet = EmbedFleet::start("127.0.0.1".parse().unwrap())
-            .await
-            .unwrap();
+        let fleet = EmbedFleet::start(unique_loopback().into()).await.unwrap();
         let mut text = String::from("schema = 2\n");
         let names: Vec<String> = (0..endpoints.len())
             .map(|index| format!("fault-{index}"))
@@ -178,10 +177,12 @@
     }
 
     async fn ask(&self, body: Value) -> (u16, String) {
-        let url = format!(
-            "http://{}/v1/chat/completions",
-            self.fleet.routers[0].address
-        );
+        self.ask_at(0, body).await
+    }
+
+    async fn ask_at(&self, router: usize, body: Value) -> (u16, String) {
+        let address = self.fleet.routers[router].address;
+        let url = format!("http://{address}/v1/chat/completions");
         let request = Request::post(url)
             .header("authorization", "Bearer sample-key-parish")
             .header("content-type", "application/json")
@@ -257,8 +258,11 @@
     for (status, body) in others {
         assert_eq!(status, 200, "{body}");
     }
-    let (status, body) = fleet.ask(fatal).await;
-    assert_eq!((status, code_of(&body)), (422, json!("crashes_endpoints")));
+    // The caller sends it again through every router; their counts must be shared.
+    for router in 0..3 {
+        let (status, body) = fleet.ask_at(router, fatal.clone()).await;
+        assert_eq!((status, code_of(&body)), (422, json!("crashes_endpoints")));
+    }
     let crashed = proxies.iter().filter(|proxy| proxy.has_crashed()).count();
     assert_eq!(crashed, 2, "a third run crashed another endpoint");
     let (status, body) = fleet.ask(prompt("fault-7b", "a last question", 2)).await;
