Write charge lines for settlements from lists, and tighten three checks

Cause: a router that crashed before its commit left requests that no charge line named, although the engines list them. Change: a settlement stores one line for each request that it charges from a list, before the row; 'explain' and the invariant checks read these lines. The test of simultaneous orders slows the table, so that all of them look before one writes; the configuration state and the request state machine get direct tests.

--- a/crates/core/src/segment.rs
+++ b/crates/core/src/segment.rs
@@ -19,6 +19,14 @@
     format!("segment/{holder}/{shard}/{seq:012}")
 }
 
+/// Prefix of the charge lines that settlements of dead holders wrote.
+pub const SETTLED_PREFIX: &str = "settled/";
+
+/// Key of the line of a request that the settlement of a dead holder charged from a list.
+pub fn settled_key(holder: &HolderId, shard: ShardId, request: &str) -> String {
+    format!("{SETTLED_PREFIX}{holder}/{shard}/{request}")
+}
+
 /// Charge lines and open requests of one commit.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SegmentRecord {
--- a/crates/core/tests/fleet_revision.rs
+++ b/crates/core/tests/fleet_revision.rs
@@ -308,3 +308,16 @@
         "revision 1: 'model' records need 'schema = 2'"
     );
 }
+
+/// Guards against a state that takes an older revision or skips one, whoever calls it.
+#[test]
+fn state_takes_only_the_next_revision() {
+    let mut state = ConfigState::default();
+    assert!(state.apply(&delta(1, 2, 1)).unwrap());
+    assert!(state.apply(&delta(2, 2, 4)).unwrap());
+    let known = state.clone();
+    assert!(!state.apply(&delta(1, 2, 7)).unwrap());
+    let gap = state.apply(&delta(4, 2, 7)).unwrap_err();
+    assert_eq!(gap.category(), Category::Conflict);
+    assert_eq!(state, known);
+}
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -3,7 +3,7 @@
 use {
     jasminewall_core::{
         budget::grant_key,
-        segment::{ChargeLine, OpenRequest, SegmentRecord},
+        segment::{ChargeLine, OpenRequest, SETTLED_PREFIX, SegmentRecord},
     },
     serde_json::{Value, json},
 };
@@ -76,10 +76,12 @@
         let first = keys.len();
         let all = self.ports.object.list(SEGMENT_PREFIX).await?;
         keys.extend(all.into_iter().filter(|key| !key.starts_with(&own)));
+        keys.extend(self.ports.object.list(SETTLED_PREFIX).await?);
         let mut open = None;
         for (index, key) in keys.iter().enumerate() {
-            if index == first && open.is_some() {
-                break;
+            let is_settled = key.starts_with(SETTLED_PREFIX);
+            if index >= first && open.is_some() && !is_settled {
+                continue;
             }
             let Some(bytes) = self.ports.object.get(key).await? else {
                 continue;
--- a/crates/router/src/spend/reclaim.rs
+++ b/crates/router/src/spend/reclaim.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    time::Duration,
+    time::{Duration, SystemTime},
 };
 
 use {
@@ -11,11 +11,12 @@
     hyper::Request,
     hyper_util::{client::legacy::Client, rt::TokioExecutor},
     jasminewall_core::{
-        BudgetId, ConfigRecord, EndpointId, HolderId, RequestId, ShardId, Tokens,
+        BudgetId, ConfigRecord, CustomerId, EndpointId, HolderId, RecordKind, RequestId, RouteId,
+        ShardId, Tokens,
         budget::{GrantRow, grant_key, pool_key},
         member::DeathProof,
         record::EndpointRecord,
-        segment::{SegmentRecord, segment_prefix},
+        segment::{ChargeLine, SegmentRecord, segment_prefix, settled_key},
         settle::{ChargeEvidence, DeathEvidence, evidence_prefix, settle_row},
     },
     jasminewall_platform::{RowWrite, TransactOutcome},
@@ -23,7 +24,7 @@
     smol_str::SmolStr,
 };
 
-use super::{commits, transfer};
+use super::{RequestEnd, commits, transfer};
 use crate::state::RouterState;
 
 /// Longest time to wait for an endpoint's list of streams.
@@ -179,6 +180,9 @@
     if pool == before && row == stored {
         return Ok(());
     }
+    let charged: BTreeSet<RequestId> = row.settled.difference(&stored.settled).cloned().collect();
+    let lines = missing_lines(state, evidence, &charged);
+    store_lines(state, shard, dead, lines).await?;
     let writes = vec![
         RowWrite::replace(pool_key(shard), pool_version, serde_json::to_string(&pool)?),
         RowWrite::replace(
@@ -194,6 +198,81 @@
     Ok(())
 }
 
+/// Writes a charge line for each newly charged request that no segment names.
+///
+/// The lines are stored before the row, once for each request, so that a settlement that is tried
+/// again adds none.
+async fn store_lines(
+    state: &RouterState,
+    shard: ShardId,
+    dead: &HolderId,
+    lines: Vec<ChargeLine>,
+) -> anyhow::Result<()> {
+    for line in lines {
+        let key = settled_key(dead, shard, &line.request);
+        let segment = SegmentRecord {
+            holder: dead.clone(),
+            shard,
+            seq: 0,
+            lines: vec![line],
+            open: Vec::new(),
+        };
+        let object = &state.ports.object;
+        object.put_new(&key, serde_json::to_vec(&segment)?).await?;
+    }
+    Ok(())
+}
+
+/// Charge lines of newly charged requests that no segment names.
+fn missing_lines(
+    state: &RouterState,
+    evidence: &DeathEvidence,
+    charged: &BTreeSet<RequestId>,
+) -> Vec<ChargeLine> {
+    let segments = evidence.segments.iter();
+    let in_segments: BTreeSet<&RequestId> = segments
+        .flat_map(|segment| segment.lines.iter().map(|line| &line.request))
+        .collect();
+    let mut lines = Vec::new();
+    let mut add = |endpoint: Option<&EndpointId>, charge: &ChargeEvidence| {
+        if charged.contains(&charge.request) && !in_segments.contains(&charge.request) {
+            lines.push(line_of(state, endpoint, charge));
+        }
+    };
+    for charge in &evidence.resumed {
+        add(None, charge);
+    }
+    for (endpoint, charges) in &evidence.listed {
+        for charge in charges {
+            add(Some(endpoint), charge);
+        }
+    }
+    lines
+}
+
+/// Charge line of a request that an endpoint lists, which does not say its route.
+fn line_of(
+    state: &RouterState,
+    endpoint: Option<&EndpointId>,
+    charge: &ChargeEvidence,
+) -> ChargeLine {
+    let config = state.fleet.config();
+    let customer = match config.get(RecordKind::Budget, &charge.budget) {
+        Some(ConfigRecord::Budget(budget)) => budget.customer.clone(),
+        _ => CustomerId::default(),
+    };
+    ChargeLine {
+        request: charge.request.clone(),
+        customer,
+        budget: charge.budget.clone(),
+        route: RouteId::default(),
+        endpoint: endpoint.cloned(),
+        tokens: charge.tokens,
+        outcome: RequestEnd::Ran.as_str().into(),
+        ended_at: SystemTime::now(),
+    }
+}
+
 async fn gather(
     state: &RouterState,
     shard: ShardId,
--- a/crates/testkit/src/invariant.rs
+++ b/crates/testkit/src/invariant.rs
@@ -11,7 +11,7 @@
     jasminewall_core::{
         BudgetId, EndpointId, RequestId, Revision, Tokens, VmId,
         revision::{HEAD_KEY, HeadRow},
-        segment::{ChargeLine, SegmentRecord},
+        segment::{ChargeLine, SETTLED_PREFIX, SegmentRecord},
     },
     jasminewall_platform::{PlatformPorts, TableRow},
     serde_json::Value,
@@ -241,7 +241,9 @@
     pub async fn gather(ports: &PlatformPorts) -> Result<Self> {
         let rows = ports.table.scan("").await?;
         let mut segments = Vec::new();
-        for key in ports.object.list("segment/").await? {
+        let mut keys = ports.object.list("segment/").await?;
+        keys.extend(ports.object.list(SETTLED_PREFIX).await?);
+        for key in keys {
             let bytes = ports.object.get(&key).await?.context("a segment is gone")?;
             segments.push(serde_json::from_slice(&bytes).with_context(|| key.clone())?);
         }
--- a/crates/testkit/tests/caller_services.rs
+++ b/crates/testkit/tests/caller_services.rs
@@ -215,6 +215,11 @@
     // The peer probe runs every second; a router must know that the holder is alive.
     tokio::time::sleep(Duration::from_millis(2_500)).await;
     let slow = "?sleep_ms=400";
+    // All requests must find no claim before the first one writes its own.
+    fleet.platform.set_faults(FaultPlan {
+        delay_ms: 20,
+        ..FaultPlan::default()
+    });
     let all = futures_util::future::join_all(
         (0..12).map(|index| order(&clients[index % 3], "key-2", slow, "a")),
     )
--- a/crates/testkit/tests/routing_life.rs
+++ b/crates/testkit/tests/routing_life.rs
@@ -173,3 +173,30 @@
         "an old count came back"
     );
 }
+
+/// Guards against a second run of a request that must run at most once and may have run.
+#[test]
+fn unproven_failure_allows_no_second_dispatch() {
+    for (failure, again) in [
+        (AttemptFailure::Unconnected, true),
+        (AttemptFailure::Broken, false),
+        (AttemptFailure::Silent, false),
+    ] {
+        let mut life = RequestLife::new(false);
+        for event in [
+            LifeEvent::Admit,
+            LifeEvent::Hold,
+            LifeEvent::Claim,
+            LifeEvent::Dispatch,
+            LifeEvent::Fail(failure),
+        ] {
+            life.apply(event).unwrap();
+        }
+        assert_eq!(life.may_dispatch(), again, "{failure:?}");
+        assert_eq!(
+            life.apply(LifeEvent::Dispatch).is_ok(),
+            again,
+            "{failure:?}"
+        );
+    }
+}
