Keep one rule each for payments, streams and crash counts

Cause: a second reading of the whole change. jasminectl lowered a budget with its own arithmetic beside PoolEntry::lower, and the stand-ins added a negative payment as if it were positive; dispatch copied each body to search it for the stream field that the callers' interface had parsed already; two places sorted all crash counts to pick a few; an offer to the queue locked twice. Change: PoolEntry::pay serves both; DispatchJob says whether it is streamed; SuspectTable::counts_of serves both; the offer locks once. No timing was taken. Conclusion: behaviour stays, except that a negative payment declared for the stand-ins now takes tokens back, as jasminectl does.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -7,7 +7,7 @@
     smol_str::{SmolStr, ToSmolStr},
 };
 
-use crate::{BudgetId, HolderId, RequestId, ShardId, Tokens};
+use crate::{BudgetId, HolderId, RequestId, ShardId, Tokens, record::TopUpRecord};
 
 /// Text form of a [`HolderId`], used as a key of JSON maps.
 pub type HolderKey = SmolStr;
@@ -71,6 +71,17 @@
 }
 
 impl PoolEntry {
+    /// Applies a declared payment once: adds its tokens, or takes free ones back for a negative
+    /// amount. Says what was taken in the second case.
+    pub fn pay(&mut self, record: &TopUpRecord) -> Option<LowerOutcome> {
+        let size = record.amount.unsigned_abs();
+        if record.amount < 0 {
+            return Some(self.lower(&record.name, size));
+        }
+        self.top_up(&record.name, size);
+        None
+    }
+
     /// Adds a top-up once; repeats of the same id change nothing.
     pub fn top_up(&mut self, id: &SmolStr, amount: Tokens) -> bool {
         if !self.top_ups.insert(id.clone()) {
--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -1,7 +1,7 @@
 //! Requests that crash the endpoints that run them.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::{Duration, Instant},
 };
 
@@ -116,10 +116,20 @@
         }
     }
 
-    /// Counts for peers: the own ones and those learned from others.
+    /// All counts for peers: the own ones and those learned from others.
     pub fn counts(&self) -> Vec<CrashCount> {
+        let fingerprints: Vec<u64> = self.entries.keys().copied().collect();
+        self.counts_of(&fingerprints)
+    }
+
+    /// Counts of some fingerprints, each once and in order.
+    pub fn counts_of(&self, fingerprints: &[u64]) -> Vec<CrashCount> {
+        let wanted: BTreeSet<u64> = fingerprints.iter().copied().collect();
         let mut counts = Vec::new();
-        for (fingerprint, entry) in &self.entries {
+        for fingerprint in &wanted {
+            let Some(entry) = self.entries.get(fingerprint) else {
+                continue;
+            };
             for (reporter, crashes) in &entry.crashes {
                 counts.push(CrashCount {
                     reporter: reporter.clone(),
@@ -129,9 +139,6 @@
                 });
             }
         }
-        counts.sort_by(|one, other| {
-            (one.fingerprint, &one.reporter).cmp(&(other.fingerprint, &other.reporter))
-        });
         counts
     }
 
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -178,17 +178,12 @@
         budget,
         amount,
     } = top_up;
-    let size = amount.unsigned_abs();
-    if *amount >= 0 {
-        entry.top_up(name, size);
-        return format!("top-up {name} added {size} tokens to budget {budget}");
-    }
-    let taken = size.min(entry.free);
-    entry.top_ups.insert(name.clone());
-    entry.free -= taken;
-    entry.prepaid -= taken;
+    let Some(outcome) = entry.pay(top_up) else {
+        return format!("top-up {name} added {amount} tokens to budget {budget}");
+    };
+    let taken = outcome.taken;
     let line = format!("top-up {name} took {taken} tokens from budget {budget}");
-    match size - taken {
+    match outcome.left {
         0 => line,
         rest => format!(
             "{line}; {rest} could not be taken: they are granted, spent or were never paid in"
--- a/crates/router/src/api/completions.rs
+++ b/crates/router/src/api/completions.rs
@@ -145,7 +145,7 @@
     // A token is at least one byte of text, so the body's length bounds the prompt.
     let work = (received_body.len() as Tokens).saturating_add(output);
     let sent = Bytes::from(Value::Object(body.payload).to_string());
-    let job = execute::job_of(
+    let mut job = execute::job_of(
         &api,
         &caller,
         work,
@@ -153,6 +153,7 @@
         content_type(),
         (&received_body, sent),
     );
+    job.is_stream = body.stream;
     let ticketed = parts.headers.contains_key(tickets::HEADER);
     if ticketed || !caller.route.idempotent {
         if body.stream {
--- a/crates/router/src/api/execute.rs
+++ b/crates/router/src/api/execute.rs
@@ -184,6 +184,7 @@
         customer: caller.customer.clone(),
         route: caller.route.clone(),
         class: caller.class,
+        is_stream: false,
         work,
         deadline: caller.deadline,
         fingerprint: fingerprint(caller, received),
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -39,6 +39,8 @@
     pub(crate) route: RouteRecord,
     /// Class of work.
     pub(crate) class: WorkClass,
+    /// Whether the caller asked for a streamed answer.
+    pub(crate) is_stream: bool,
     /// Worst case in tokens.
     pub(crate) work: Tokens,
     /// Time by which the answer must be whole.
@@ -109,10 +111,8 @@
     let counts: Vec<CrashCount> = reports.iter().map(count_of).collect();
     let mut suspects = state.routing.suspects();
     suspects.merge(&counts, Instant::now());
-    let known = suspects.counts().into_iter().filter(|count| {
-        let mut asked = reports.iter();
-        asked.any(|report| report.fingerprint == count.fingerprint)
-    });
+    let asked: Vec<u64> = reports.iter().map(|report| report.fingerprint).collect();
+    let known = suspects.counts_of(&asked).into_iter();
     known.map(report_of).collect()
 }
 
--- a/crates/router/src/dispatch/attempt.rs
+++ b/crates/router/src/dispatch/attempt.rs
@@ -22,8 +22,6 @@
 const CRASH_WINDOW: Duration = Duration::from_secs(1);
 /// Time that the signs of a crash need to show.
 const CRASH_SETTLE: Duration = Duration::from_millis(50);
-/// Field of a body that asks for a streamed answer, without the spaces that JSON allows.
-const STREAM_FIELD: &[u8] = b"\"stream\":true";
 
 /// Sends a job to one endpoint and waits for the head of the answer.
 pub(super) async fn send(
@@ -69,16 +67,7 @@
 /// shows only late; half of the time that is left remains for a second attempt, if one is allowed.
 fn head_limit(state: &RouterState, job: &DispatchJob) -> Duration {
     let left = job.deadline.saturating_duration_since(Instant::now());
-    let packed: Vec<u8> = job
-        .body
-        .iter()
-        .copied()
-        .filter(|byte| !byte.is_ascii_whitespace())
-        .collect();
-    let streams = packed
-        .windows(STREAM_FIELD.len())
-        .any(|window| window == STREAM_FIELD);
-    if streams {
+    if job.is_stream {
         left.min(state.routing.head_timeout())
     } else if job.route.idempotent {
         left / 2
--- a/crates/router/src/dispatch/queue.rs
+++ b/crates/router/src/dispatch/queue.rs
@@ -311,18 +311,21 @@
     sender: oneshot::Sender<Result<PlacedJob, Refusal>>,
 ) -> Result<(PoolKey, Tokens), Refusal> {
     let (key, expected) = pool_for(state, job)?;
-    let learned = {
-        let inner = state.routing.inner();
-        let lengths = &inner.lengths;
-        let learned = lengths.learned(&job.customer, &job.route.name, job.work);
-        learned.unwrap_or(1)
-    };
+    let weight = weight_of(state, job);
+    let mut inner = state.routing.inner();
+    let RoutingInner {
+        table,
+        pools,
+        lengths,
+        ..
+    } = &mut *inner;
+    let learned = lengths.learned(&job.customer, &job.route.name, job.work);
     let queued = QueuedWork {
         customer: job.customer.clone(),
-        weight: weight_of(state, job),
+        weight,
         class: job.class,
         work: expected,
-        least: learned,
+        least: learned.unwrap_or(1),
         deadline: job.deadline,
         item: WaitingJob {
             request: job.request.clone(),
@@ -330,8 +333,6 @@
             sender,
         },
     };
-    let mut inner = state.routing.inner();
-    let RoutingInner { table, pools, .. } = &mut *inner;
     let pool = pools.get_mut(&key).ok_or(RefusalCode::NoEndpoint)?;
     let view = table.capacity(&pool.pool);
     let refused = pool.queue.offer(queued, view, Instant::now());
--- a/crates/router/src/dispatch/share.rs
+++ b/crates/router/src/dispatch/share.rs
@@ -17,13 +17,8 @@
 
 /// Sends the crash counts of fingerprints to all peers in reach and takes over theirs.
 pub(super) async fn share(state: &RouterState, fingerprints: &[u64]) {
-    let reports: Vec<SuspectReport> = {
-        let counts = state.routing.suspects().counts();
-        let known = counts
-            .into_iter()
-            .filter(|count| fingerprints.contains(&count.fingerprint));
-        known.map(report_of).collect()
-    };
+    let counts = state.routing.suspects().counts_of(fingerprints);
+    let reports: Vec<SuspectReport> = counts.into_iter().map(report_of).collect();
     if reports.is_empty() {
         return;
     }
--- a/crates/router/src/embed.rs
+++ b/crates/router/src/embed.rs
@@ -312,10 +312,7 @@
         if let ConfigRecord::TopUp(top_up) = record {
             let budget: &BudgetId = &top_up.budget;
             let pool = pools.entry(shard_of(budget, shards)).or_default();
-            pool.budgets
-                .entry(budget.clone())
-                .or_default()
-                .top_up(&top_up.name, top_up.amount.unsigned_abs());
+            pool.budgets.entry(budget.clone()).or_default().pay(top_up);
         }
     }
     for (shard, pool) in pools {
