--- /dev/null
+++ b/crates/testkit/tests/fleet_routers.rs
@@ -0,0 +1,468 @@
+//! Guards the fleet rules on whole routers in one process: configuration, restarts, planned stops,
+//! leaving, graceful stops and orders to engines.
+#![allow(clippy::unwrap_used, reason = "a test ends at the first error")]
+
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use {
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full},
+    hyper::Request,
+    hyper_util::{
+        client::legacy::{Client, connect::HttpConnector},
+        rt::TokioExecutor,
+    },
+    jasminewall_core::{
+        ConfigDelta, HolderId,
+        budget::{PoolRow, pool_key},
+        member::{MemberState, registration_key},
+        order::{EngineOrder, ModelVersion, OrderRow, order_key},
+        record,
+        revision::{ConfigChange, HEAD_KEY, HeadRow, log_key},
+        shard_of,
+    },
+    jasminewall_platform::{FaultPlan, MemoryPlatform, RowWrite, TransactOutcome, VmState},
+    jasminewall_router::{RouterHandle, RouterSetting, StopPlan},
+    jasminewall_standin::{ModelEngine, OrderBook},
+    jasminewall_wire::PeerServiceClient,
+    serde_json::{Value, json},
+    tokio::{net::TcpListener, task::JoinSet},
+};
+
+const SECRET: &str = "fleet-test-secret";
+const KEY: &str = "sample-key-parish";
+const KEY_SHA256: &str = "b217bdf7b013b544e53b5047c5cbe4bda70e4d58d090da88b04561230ae93f39";
+/// Bound of section 2 of the design at today's size.
+const IN_FORCE: Duration = Duration::from_secs(5);
+/// Bound of section 2 of the design for new work to an endpoint that leaves.
+const NO_NEW_WORK: Duration = Duration::from_secs(3);
+
+struct FleetBench {
+    platform: MemoryPlatform,
+    settings: Vec<RouterSetting>,
+    routers: Vec<Option<RouterHandle>>,
+    engines: Vec<(String, SocketAddr)>,
+    client: Client<HttpConnector, Full<Bytes>>,
+    tasks: JoinSet<std::io::Result<()>>,
+}
+
+impl FleetBench {
+    /// Starts routers and two model engines, with a customer and a budget declared.
+    async fn start(count: usize) -> Self {
+        let mut bench = Self {
+            platform: MemoryPlatform::new(),
+            settings: settings(count),
+            routers: Vec::new(),
+            engines: Vec::new(),
+            client: Client::builder(TokioExecutor::new()).build_http(),
+            tasks: JoinSet::new(),
+        };
+        for name in ["engine-1", "engine-2"] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            bench
+                .engines
+                .push((name.into(), listener.local_addr().unwrap()));
+            let engine = ModelEngine::new(name, &["glass-7b"]);
+            bench.tasks.spawn(engine.serve(listener));
+        }
+        let budget = "parish-2026";
+        let mut pool = PoolRow::default();
+        let entry = pool.budgets.entry("parish-2026".into()).or_default();
+        entry.top_up(&"first".into(), 10_000_000);
+        let key = pool_key(shard_of(budget, 4));
+        let row = RowWrite::create(key, serde_json::to_string(&pool).unwrap());
+        bench
+            .platform
+            .ports()
+            .table
+            .transact(vec![row])
+            .await
+            .unwrap();
+        let mut text = format!(
+            "[[customer]]\nname = \"parish\"\nkey_sha256 = [\"{KEY_SHA256}\"]\n\
+             [[budget]]\nname = \"parish-2026\"\ncustomer = \"parish\"\n\
+             [[route]]\nname = \"glass-7b\"\nendpoints = [\"engine-1\", \"engine-2\"]\n"
+        );
+        for (name, address) in &bench.engines {
+            text.push_str(&engine_text(name, *address, "domain-a", false));
+        }
+        bench.publish(&text).await;
+        for index in 0..count {
+            bench
+                .platform
+                .set_vm(&bench.settings[index].vm, Some(VmState::Live));
+            bench.routers.push(None);
+            bench.restart(index).await;
+        }
+        bench
+            .wait("ready", IN_FORCE, |router| router.state.is_ready())
+            .await;
+        bench
+    }
+
+    async fn restart(&mut self, index: usize) {
+        let setting = self.settings[index].clone();
+        let router = RouterHandle::start(setting, self.platform.ports());
+        self.routers[index] = Some(router.await.unwrap());
+    }
+
+    fn router(&self, index: usize) -> &RouterHandle {
+        self.routers[index].as_ref().unwrap()
+    }
+
+    /// Accepts a change of the configuration and returns its revision.
+    async fn publish(&self, text: &str) -> u64 {
+        let table = self.platform.ports().table;
+        let head = table.read(HEAD_KEY).await.unwrap();
+        let (version, revision) = head.map_or((0, 0), |row| {
+            let head: HeadRow = serde_json::from_str(&row.value).unwrap();
+            (row.version, head.revision)
+        });
+        let revision = revision + 1;
+        let records = record::from_str(&format!("schema = 2\n{text}")).unwrap();
+        let delta = ConfigDelta {
+            revision,
+            schema: 2,
+            changes: records.into_iter().map(ConfigChange::Put).collect(),
+        };
+        let head = serde_json::to_string(&HeadRow { revision }).unwrap();
+        let writes = vec![
+            RowWrite::replace(HEAD_KEY, version, head),
+            RowWrite::create(log_key(revision), serde_json::to_string(&delta).unwrap()),
+        ];
+        assert_eq!(
+            table.transact(writes).await.unwrap(),
+            TransactOutcome::Committed
+        );
+        revision
+    }
+
+    /// Waits until a condition holds for every running router; fails after `limit`.
+    async fn wait(&self, what: &str, limit: Duration, holds: impl Fn(&RouterHandle) -> bool) {
+        let started = Instant::now();
+        while !self.routers.iter().flatten().all(&holds) {
+            assert!(started.elapsed() < limit, "not {what} within {limit:?}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    fn call(
+        &self,
+        router: usize,
+        tokens: u64,
+        stream: bool,
+    ) -> impl Future<Output = Result<(u16, String), String>> + Send + 'static {
+        let body = json!({"model": "glass-7b", "max_tokens": tokens, "stream": stream,
+            "messages": [{"role": "user", "content": "crack"}]});
+        let address = self.router(router).address;
+        let request = Request::post(format!("http://{address}/v1/chat/completions"))
+            .header("authorization", format!("Bearer {KEY}"))
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(body.to_string())))
+            .unwrap();
+        let response = self.client.request(request);
+        async move {
+            let response = response.await.map_err(|error| error.to_string())?;
+            let status = response.status().as_u16();
+            let body = response.into_body().collect().await;
+            let body = body.map_err(|error| error.to_string())?.to_bytes();
+            Ok((status, String::from_utf8_lossy(&body).into_owned()))
+        }
+    }
+
+    async fn stop(mut self) {
+        for router in self.routers.into_iter().flatten() {
+            router.stop().await;
+        }
+        self.tasks.shutdown().await;
+    }
+}
+
+fn settings(count: usize) -> Vec<RouterSetting> {
+    let listeners: Vec<_> = (0..count)
+        .map(|_| std::net::TcpListener::bind("127.0.0.1:0").unwrap())
+        .collect();
+    let addresses: Vec<SocketAddr> = listeners
+        .iter()
+        .map(|listener| listener.local_addr().unwrap())
+        .collect();
+    let setting = |index: usize| {
+        let peers: Vec<String> = addresses.iter().map(ToString::to_string).collect();
+        let domain = ["domain-a", "domain-b", "domain-c"][index % 3];
+        format!(
+            "[router]\nvm = vm-{index}\nfailure_domain = {domain}\nlisten = 127.0.0.1:0\n\
+             peer_listen = {}\n[fleet]\npeers = {}\nsecret = {SECRET}\nshards = 4\n\
+             [platform]\naddress = 127.0.0.1:1\n",
+            peers[index],
+            peers.join(",")
+        )
+    };
+    (0..count)
+        .map(|index| setting(index).parse().unwrap())
+        .collect()
+}
+
+fn engine_text(name: &str, address: SocketAddr, domain: &str, honours: bool) -> String {
+    format!(
+        "[[endpoint]]\nname = \"{name}\"\nruns = \"model_engine\"\naddress = \"{address}\"\n\
+         failure_domain = \"{domain}\"\nhonours_fencing = {honours}\n"
+    )
+}
+
+/// Calls a router's peer service as a peer with a secret does.
+async fn peer_client(address: SocketAddr, secret: &str) -> PeerServiceClient {
+    let stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    let own = HolderId::new("vm-test", 1);
+    let (_, transport) = jasminewall_wire::connect(stream, secret, &own)
+        .await
+        .unwrap();
+    PeerServiceClient::new(tarpc::client::Config::default(), transport).spawn()
+}
+
+/// Guards against a change that some router does not have in force, or has late.
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_is_in_force_on_nine_routers_within_five_seconds() {
+    let bench = FleetBench::start(9).await;
+    for _ in 0..3 {
+        let text = "[[budget]]\nname = \"more\"\ncustomer = \"parish\"\n";
+        let revision = bench.publish(text).await;
+        let in_force = |router: &RouterHandle| router.state.version().revision == revision;
+        bench.wait("in force", IN_FORCE, in_force).await;
+    }
+    bench.stop().await;
+}
+
+/// Guards against a restarted router that serves an older configuration, or none, in an outage.
+#[tokio::test(flavor = "multi_thread")]
+async fn restart_in_a_table_outage_takes_the_highest_revision_of_a_peer() {
+    let mut bench = FleetBench::start(3).await;
+    let text = "[[budget]]\nname = \"more\"\ncustomer = \"parish\"\n";
+    let revision = bench.publish(text).await;
+    let in_force = |router: &RouterHandle| router.state.version().revision == revision;
+    bench.wait("in force", IN_FORCE, in_force).await;
+    bench.platform.set_faults(FaultPlan {
+        table_down: true,
+        ..FaultPlan::default()
+    });
+    bench.routers[0].take().unwrap().abort().await;
+    bench.restart(0).await;
+    let ready = |router: &RouterHandle| router.state.is_ready() && in_force(router);
+    bench.wait("ready again", IN_FORCE, ready).await;
+    assert!(!bench.router(0).state.version().registered);
+
+    // Without any source in reach, a router must not take requests.
+    for router in &mut bench.routers {
+        router.take().unwrap().abort().await;
+    }
+    bench.restart(1).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert!(!bench.router(1).state.is_ready());
+    bench.platform.set_faults(FaultPlan::default());
+    bench
+        .wait("ready with the table", IN_FORCE * 2, ready)
+        .await;
+    bench.stop().await;
+}
+
+/// Guards against work sent into a planned stop, and against requests that it interrupts.
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_interrupts_no_request_and_keeps_new_work_off() {
+    let bench = FleetBench::start(3).await;
+    let mut running = JoinSet::new();
+    for index in 0..30 {
+        running.spawn(bench.call(index % 3, 400, index % 2 == 0));
+    }
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_secs();
+    let stop = format!(
+        "[[stop]]\nname = \"s\"\nendpoint = \"engine-1\"\nfrom = {now}\nuntil = {}\n",
+        now + 3_600
+    );
+    let revision = bench.publish(&stop).await;
+    let in_force = |router: &RouterHandle| router.state.version().revision == revision;
+    bench.wait("in force", IN_FORCE, in_force).await;
+    check_no_new_work(&bench).await;
+    let mut engines = BTreeSet::new();
+    while let Some(answer) = running.join_next().await {
+        let (status, text) = answer.unwrap().unwrap();
+        assert_eq!(status, 200, "{text}");
+        assert!(text.contains(":399"), "an answer was cut off: {text}");
+        engines.insert(text.contains("engine-1:"));
+    }
+    assert_eq!(engines.len(), 2, "work ran on both engines before the stop");
+    bench.stop().await;
+}
+
+/// Sends requests through every router; none may reach engine-1.
+async fn check_no_new_work(bench: &FleetBench) {
+    for index in 0..60 {
+        let (status, text) = bench
+            .call(index % bench.routers.len(), 1, false)
+            .await
+            .unwrap();
+        assert_eq!(status, 200, "{text}");
+        assert!(
+            !text.contains("engine-1:"),
+            "new work to an endpoint that leaves"
+        );
+    }
+}
+
+/// Guards against routers that do not hear of a leaving endpoint, and against forged messages.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_new_work_three_seconds_after_a_peer_names_an_endpoint_as_leaving() {
+    let bench = FleetBench::start(9).await;
+    let address = bench.settings[4].peer_listen;
+    let forged = peer_client(address, "another secret").await;
+    let context = tarpc::context::current();
+    assert!(forged.leaving(context, "engine-2".into(), 0).await.is_err());
+    let peer = peer_client(address, SECRET).await;
+    peer.leaving(context, "engine-1".into(), 0).await.unwrap();
+    tokio::time::sleep(NO_NEW_WORK).await;
+    check_no_new_work(&bench).await;
+    bench.stop().await;
+}
+
+/// Guards against work to an endpoint that the VM list names as leaving.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_new_work_to_an_endpoint_that_the_list_names_as_leaving() {
+    let bench = FleetBench::start(3).await;
+    bench.platform.set_vm("engine-1", Some(VmState::Leaving));
+    // The list is read every 5 s with jitter of a fifth; the bound counts from that sign.
+    tokio::time::sleep(Duration::from_secs(6) + NO_NEW_WORK).await;
+    check_no_new_work(&bench).await;
+    bench.stop().await;
+}
+
+/// Guards against streams that a SIGTERM cuts off, requests it loses and registrations it leaves.
+#[tokio::test(flavor = "multi_thread")]
+async fn graceful_stop_interrupts_no_stream_and_removes_the_registration() {
+    let mut bench = FleetBench::start(3).await;
+    let mut streams = JoinSet::new();
+    for _ in 0..10 {
+        streams.spawn(bench.call(0, 600, true));
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let during_grace = bench.call(0, 1, false);
+    let router = bench.routers[0].take().unwrap();
+    let state = router.state.clone();
+    let plan = StopPlan {
+        grace: Duration::from_millis(700),
+        refuse: Duration::from_millis(700),
+        drain: Duration::from_secs(30),
+    };
+    let address = router.address;
+    let stopping = tokio::spawn(router.stop_with(plan));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert!(!state.is_ready(), "readiness is withdrawn first");
+    assert_eq!(
+        during_grace.await.unwrap().0,
+        200,
+        "served in the grace period"
+    );
+    let vm = state.holder.vm.clone();
+    let leaving = |router: &RouterHandle| {
+        let members = router.state.version().members;
+        let seen = members.iter().find(|view| view.holder.vm == vm);
+        seen.is_some_and(|view| view.state == MemberState::Leaving)
+    };
+    bench.wait("told of the leave", NO_NEW_WORK, leaving).await;
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    let request = Request::post(format!("http://{address}/v1/chat/completions"))
+        .header("authorization", format!("Bearer {KEY}"))
+        .body(Full::new(Bytes::from(
+            r#"{"model":"glass-7b","messages":[]}"#,
+        )))
+        .unwrap();
+    let refused = bench.client.request(request).await.unwrap();
+    assert_eq!(refused.status(), 503);
+    let body = refused.into_body().collect().await.unwrap().to_bytes();
+    assert_eq!(serde_json::from_slice::<Value>(&body).unwrap()["ran"], "no");
+    while let Some(answer) = streams.join_next().await {
+        let (status, text) = answer.unwrap().unwrap();
+        assert_eq!(status, 200);
+        assert!(text.contains("[DONE]"), "a stream was cut off: {text}");
+    }
+    stopping.await.unwrap();
+    let table = bench.platform.ports().table;
+    let row = table
+        .read(&registration_key(&state.holder.vm))
+        .await
+        .unwrap();
+    assert!(row.is_none(), "the registration is left behind");
+    bench.stop().await;
+}
+
+/// Guards against engines that run something else than the latest order, with and without fencing.
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_run_what_is_declared_and_stale_orders_are_repaired() {
+    let mut bench = FleetBench::start(3).await;
+    let books = [("ordered-1", true), ("ordered-2", false)].map(|(name, honours)| {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        (name, OrderBook::new(honours), listener, honours)
+    });
+    let mut text = String::from("[[model]]\nname = \"came-3b\"\nversion = \"2\"\nreplicas = 2\n");
+    text.push_str("[[route]]\nname = \"came-3b\"\nendpoints = [\"ordered-1\", \"ordered-2\"]\n");
+    let mut engines = Vec::new();
+    for (name, book, listener, honours) in books {
+        let address = listener.local_addr().unwrap();
+        text.push_str(&engine_text(name, address, "domain-a", honours));
+        let listener = TcpListener::from_std(listener).unwrap();
+        bench.tasks.spawn(book.clone().serve(listener));
+        engines.push((name, book, address, honours));
+    }
+    bench.publish(&text).await;
+    wait_for_models(&engines).await;
+    let stale = EngineOrder {
+        number: 0,
+        target: ModelVersion {
+            model: "came-3b".into(),
+            version: "1".into(),
+        },
+        valid_until_ms: 0,
+    };
+    for (name, book, address, honours) in &engines {
+        let request = Request::post(format!("http://{address}/jasminewall/order"))
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(serde_json::to_vec(&stale).unwrap())))
+            .unwrap();
+        let status = bench.client.request(request).await.unwrap().status();
+        assert_eq!(status, if *honours { 409 } else { 200 }, "{name}");
+        let running = book.report().running.unwrap().version;
+        assert_eq!(running, if *honours { "2" } else { "1" }, "{name}");
+    }
+    wait_for_models(&engines).await;
+    for (name, book, _, _) in &engines {
+        let table = bench.platform.ports().table;
+        let row = table.read(&order_key(name)).await.unwrap().unwrap();
+        let row: OrderRow = serde_json::from_str(&row.value).unwrap();
+        assert_eq!(row.target.version, "2");
+        let last = book.orders().last().unwrap().number;
+        assert_eq!(row.number, last, "the row names the order in effect");
+    }
+    bench.stop().await;
+}
+
+/// Waits until every engine runs version 2; fails after the bound for stale orders.
+async fn wait_for_models(engines: &[(&str, OrderBook, SocketAddr, bool)]) {
+    let started = Instant::now();
+    let runs = |book: &OrderBook| {
+        book.report()
+            .running
+            .is_some_and(|model| model.version == "2")
+    };
+    while !engines.iter().all(|(_, book, _, _)| runs(book)) {
+        assert!(
+            started.elapsed() < Duration::from_secs(10),
+            "a stale order stays"
+        );
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
