--- a/crates/core/src/revision.rs
+++ b/crates/core/src/revision.rs
@@ -1,10 +1,10 @@
 //! Log of configuration revisions and the state that it adds up to.
 
-use std::sync::Arc;
+use std::{collections::VecDeque, sync::Arc};
 
 use {
     imbl::OrdMap,
-    serde::{Deserialize, Serialize},
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
     smol_str::SmolStr,
 };
 
@@ -13,6 +13,21 @@
     record::{SCHEMA_NEWEST, SCHEMA_OLDEST},
 };
 
+/// Prefix of the objects with snapshots of the configuration.
+pub const SNAPSHOT_PREFIX: &str = "config/snapshot/";
+/// Revisions between two snapshots in the object store: most of a day at the target size.
+pub const SNAPSHOT_EVERY: Revision = 1_000;
+
+/// Key of the object with the snapshot of a revision.
+pub fn snapshot_key(revision: Revision) -> String {
+    format!("{SNAPSHOT_PREFIX}{revision:012}")
+}
+
+/// Deltas kept for peers: three days at the target's rate of change, 2 MB at 500 bytes each. A peer
+/// that is further behind gets a snapshot.
+const LOG_LIMIT: usize = 4_096;
+/// Records in one part of a snapshot: about 100 KB, well under a frame between routers.
+const PART_RECORDS: usize = 1_000;
 /// Schema version that added `model` records.
 const SCHEMA_OF_MODELS: u32 = 2;
 
@@ -58,6 +73,22 @@
     },
 }
 
+/// Part of the records in force at one revision, for routers that are far behind.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SnapshotPart {
+    /// Revision of the snapshot.
+    pub snapshot: Revision,
+    /// Schema version of the records.
+    pub schema: u32,
+    /// Index of the part.
+    pub part: usize,
+    /// Number of parts.
+    pub parts: usize,
+    /// Records of the part.
+    pub records: Vec<ConfigRecord>,
+}
+
 /// Reads a delta with the schema versions of this build.
 ///
 /// # Errors
@@ -74,34 +105,48 @@
 /// `Syntax` for text that is not JSON, `Schema` for an unknown version, kind or field; the message
 /// names the remedy, and the records in force are to stay.
 pub fn from_str_until(text: &str, newest: u32) -> Result<ConfigDelta> {
-    // The version is read alone first, so that a newer delta is reported by its version and not
-    // by the first field that this build does not know.
-    #[derive(Deserialize)]
-    struct SchemaProbe {
-        schema: u32,
-        #[serde(default)]
-        revision: Revision,
+    let delta: ConfigDelta = read(text, newest)?;
+    let position = format!("revision {}", delta.revision);
+    if delta.schema < SCHEMA_OF_MODELS && delta.changes.iter().any(ConfigChange::is_model) {
+        let message = format!("'model' records need 'schema = {SCHEMA_OF_MODELS}'");
+        return Err(Error::new(Category::Schema, message).at(position));
     }
-    let syntax = |error: serde_json::Error| Error::new(Category::Syntax, error.to_string());
-    let probe: SchemaProbe = serde_json::from_str(text).map_err(syntax)?;
-    let position = format!("revision {}", probe.revision);
-    if !(SCHEMA_OLDEST..=newest).contains(&probe.schema) {
+    Ok(delta)
+}
+
+/// Version and place of a delta or snapshot part.
+///
+/// They are read alone first, so that a newer text is reported by its version and not by the first
+/// field that this build does not know.
+#[derive(Deserialize)]
+struct TextHead {
+    schema: u32,
+    #[serde(default)]
+    revision: Revision,
+    snapshot: Option<Revision>,
+}
+
+impl TextHead {
+    fn read(text: &str) -> Result<Self> {
+        serde_json::from_str(text).map_err(|error| Error::new(Category::Syntax, error.to_string()))
+    }
+}
+
+fn read<T: DeserializeOwned>(text: &str, newest: u32) -> Result<T> {
+    let head = TextHead::read(text)?;
+    let position = format!("revision {}", head.snapshot.unwrap_or(head.revision));
+    if !(SCHEMA_OLDEST..=newest).contains(&head.schema) {
         let message = format!(
             "schema version {} is not known here (known: {SCHEMA_OLDEST} to {newest}); update the \
              router, or apply the change again with 'schema = {newest}'",
-            probe.schema
+            head.schema
         );
         return Err(Error::new(Category::Schema, message).at(position));
     }
-    let delta: ConfigDelta = serde_json::from_str(text).map_err(|error| {
+    serde_json::from_str(text).map_err(|error| {
         let message = format!("{error}; update the router, or apply the change without it");
-        Error::new(Category::Schema, message).at(position.clone())
-    })?;
-    if delta.schema < SCHEMA_OF_MODELS && delta.changes.iter().any(ConfigChange::is_model) {
-        let message = format!("'model' records need 'schema = {SCHEMA_OF_MODELS}'");
-        return Err(Error::new(Category::Schema, message).at(position));
-    }
-    Ok(delta)
+        Error::new(Category::Schema, message).at(position)
+    })
 }
 
 impl ConfigChange {
@@ -170,10 +215,7 @@
         }
         for change in &delta.changes {
             match change {
-                ConfigChange::Put(record) => {
-                    let key = (record.kind(), record.name().clone());
-                    self.records.insert(key, Arc::new(record.clone()));
-                }
+                ConfigChange::Put(record) => self.put(record),
                 ConfigChange::Remove { record, name } => {
                     self.records.remove(&(*record, name.clone()));
                 }
@@ -182,6 +224,37 @@
         self.revision = delta.revision;
         Ok(true)
     }
+
+    /// Parts of a snapshot, one a line, to offer to a [`ConfigFollower`] in order.
+    pub fn snapshot(&self) -> String {
+        let mut text = String::new();
+        for part in (0..).map_while(|part| self.snapshot_part(part, PART_RECORDS)) {
+            text.push_str(&part);
+            text.push('\n');
+        }
+        text
+    }
+
+    fn snapshot_part(&self, part: usize, part_records: usize) -> Option<String> {
+        let parts = self.records.len().div_ceil(part_records).max(1);
+        if part >= parts {
+            return None;
+        }
+        let records = self.records().skip(part * part_records);
+        let part = SnapshotPart {
+            snapshot: self.revision,
+            schema: SCHEMA_NEWEST,
+            part,
+            parts,
+            records: records.take(part_records).cloned().collect(),
+        };
+        serde_json::to_string(&part).ok()
+    }
+
+    fn put(&mut self, record: &ConfigRecord) {
+        let key = (record.kind(), record.name().clone());
+        self.records.insert(key, Arc::new(record.clone()));
+    }
 }
 
 /// What became of an offered delta.
@@ -193,6 +266,10 @@
     Old,
     /// Revisions between are missing; read them from this one on.
     Gap(Revision),
+    /// The text is part of a snapshot; offer this part of the same snapshot next.
+    More(usize),
+    /// The last part of a snapshot was offered, and its revision is in force now.
+    Restored(Revision),
 }
 
 /// Follows the configuration log: keeps the records in force and the deltas that led to them.
@@ -204,7 +281,10 @@
 pub struct ConfigFollower {
     newest: u32,
     config: Arc<ConfigState>,
-    log: Vec<Arc<str>>,
+    log: VecDeque<Arc<str>>,
+    log_limit: usize,
+    part_records: usize,
+    snapshot: Option<(SnapshotPart, ConfigState)>,
     highest: Revision,
     asked: bool,
     ready: bool,
@@ -223,7 +303,10 @@
         Self {
             newest,
             config: Arc::default(),
-            log: Vec::new(),
+            log: VecDeque::new(),
+            log_limit: LOG_LIMIT,
+            part_records: PART_RECORDS,
+            snapshot: None,
             highest: 0,
             asked: false,
             ready: false,
@@ -231,6 +314,14 @@
         }
     }
 
+    /// Keeps at most so many deltas for peers, and so many records in a part of a snapshot.
+    #[must_use]
+    pub fn with_limits(mut self, deltas: usize, part_records: usize) -> Self {
+        self.log_limit = deltas;
+        self.part_records = part_records.max(1);
+        self
+    }
+
     /// Configuration in force.
     pub fn config(&self) -> &Arc<ConfigState> {
         &self.config
@@ -268,19 +359,29 @@
         self.check_ready();
     }
 
-    /// Takes a delta into force when it is the next one.
+    /// Takes a delta into force when it is the next one, or a snapshot when its parts are complete.
     ///
     /// # Errors
     ///
     /// Those of [`from_str_until`]; the records in force stay.
     pub fn offer(&mut self, text: &str) -> Result<DeltaOutcome> {
-        let delta = match from_str_until(text, self.newest) {
-            Ok(delta) => delta,
-            Err(error) => {
-                self.refusal = Some(error.clone());
-                return Err(error);
-            }
+        let outcome = match TextHead::read(text) {
+            Ok(head) if head.snapshot.is_some() => self.offer_part(text),
+            _ => self.offer_delta(text),
         };
+        match &outcome {
+            Ok(DeltaOutcome::Applied(_) | DeltaOutcome::Restored(_)) => {
+                self.refusal = None;
+                self.check_ready();
+            }
+            Ok(_) => {}
+            Err(error) => self.refusal = Some(error.clone()),
+        }
+        outcome
+    }
+
+    fn offer_delta(&mut self, text: &str) -> Result<DeltaOutcome> {
+        let delta = from_str_until(text, self.newest)?;
         self.hear(delta.revision);
         let next = self.config.revision() + 1;
         if delta.revision < next {
@@ -290,18 +391,66 @@
             return Ok(DeltaOutcome::Gap(next));
         }
         Arc::make_mut(&mut self.config).apply(&delta)?;
-        self.log.push(text.into());
-        self.refusal = None;
-        self.check_ready();
+        self.log.push_back(text.into());
+        while self.log.len() > self.log_limit {
+            self.log.pop_front();
+        }
         Ok(DeltaOutcome::Applied(delta))
     }
 
-    /// Deltas after a revision, in order, of at most `limit` bytes in all but at least one.
+    /// Collects the parts of one snapshot in order; a part of another one starts over.
+    fn offer_part(&mut self, text: &str) -> Result<DeltaOutcome> {
+        let part: SnapshotPart = read(text, self.newest)?;
+        self.hear(part.snapshot);
+        if part.snapshot <= self.config.revision() {
+            return Ok(DeltaOutcome::Old);
+        }
+        let (last, mut state) = match self.snapshot.take() {
+            Some(kept) => kept,
+            None if part.part == 0 => (part.clone(), ConfigState::default()),
+            None => return Ok(DeltaOutcome::More(0)),
+        };
+        let expected = if part.part == 0 {
+            state = ConfigState::default();
+            true
+        } else {
+            let same = (last.snapshot, last.parts) == (part.snapshot, part.parts);
+            same && last.part + 1 == part.part
+        };
+        if !expected {
+            return Ok(DeltaOutcome::More(0));
+        }
+        for record in &part.records {
+            state.put(record);
+        }
+        if part.part + 1 < part.parts {
+            let next = part.part + 1;
+            let last = SnapshotPart {
+                records: Vec::new(),
+                ..part
+            };
+            self.snapshot = Some((last, state));
+            return Ok(DeltaOutcome::More(next));
+        }
+        state.revision = part.snapshot;
+        self.config = Arc::new(state);
+        // The deltas before the snapshot are not known here.
+        self.log.clear();
+        Ok(DeltaOutcome::Restored(part.snapshot))
+    }
+
+    /// Texts for a peer that has a revision in force: deltas in order, of at most `limit` bytes in
+    /// all but at least one, or the first part of a snapshot when the deltas are not kept.
     pub fn deltas_after(&self, revision: Revision, limit: usize) -> Vec<Arc<str>> {
-        let start = usize::try_from(revision).unwrap_or(usize::MAX);
+        let newest = self.config.revision();
+        let base = newest - self.log.len() as Revision;
+        if revision < base {
+            return self.snapshot_part(0).into_iter().map(Arc::from).collect();
+        }
+        let start = usize::try_from(revision - base).unwrap_or(usize::MAX);
         let mut bytes = 0;
         let mut deltas = Vec::new();
-        for text in self.log.get(start..).unwrap_or_default() {
+        for text in self.log.iter().skip(start) {
             bytes += text.len();
             if bytes > limit && !deltas.is_empty() {
                 break;
@@ -311,6 +460,11 @@
         deltas
     }
 
+    /// Part of a snapshot of the configuration in force; `None` beyond the last part.
+    pub fn snapshot_part(&self, part: usize) -> Option<String> {
+        self.config.snapshot_part(part, self.part_records)
+    }
+
     fn check_ready(&mut self) {
         let revision = self.config.revision();
         self.ready |= self.asked && revision > 0 && revision >= self.highest;
--- a/crates/core/tests/fleet_revision.rs
+++ b/crates/core/tests/fleet_revision.rs
@@ -38,6 +38,11 @@
     }
 }
 
+/// Router that keeps few deltas and puts one record in a part, so that snapshots are common.
+fn follower() -> ConfigFollower {
+    ConfigFollower::default().with_limits(4, 1)
+}
+
 struct Message {
     to: usize,
     run: u64,
@@ -65,7 +70,7 @@
             log: Vec::new(),
             states: vec![ConfigState::default()],
             table_up: true,
-            nodes: vec![ConfigFollower::default(); count],
+            nodes: vec![follower(); count],
             runs: vec![0; count],
             reach: vec![vec![true; count]; count],
             flying: Vec::new(),
@@ -117,7 +122,10 @@
 
     fn push(&mut self, from: usize, to: usize) {
         let after = self.rng.random_range(0..=self.log.len() as u64);
-        for text in self.nodes[from].deltas_after(after, 300) {
+        let mut texts = self.nodes[from].deltas_after(after, 300);
+        let part = self.rng.random_range(0..3);
+        texts.extend(self.nodes[from].snapshot_part(part).map(Into::into));
+        for text in texts {
             if self.reach[from][to] && self.rng.random_ratio(4, 5) {
                 self.flying.push(Message {
                     to,
@@ -152,13 +160,21 @@
         self.nodes[node].hear(revision);
         let after = self.nodes[node].config().revision();
         for text in self.nodes[from].deltas_after(after, 300) {
-            self.nodes[node].offer(&text).unwrap();
+            let mut outcome = self.nodes[node].offer(&text).unwrap();
+            // The connection may break between two parts of a snapshot.
+            while let DeltaOutcome::More(part) = outcome {
+                if self.rng.random_ratio(1, 10) {
+                    break;
+                }
+                let text = self.nodes[from].snapshot_part(part).unwrap();
+                outcome = self.nodes[node].offer(&text).unwrap();
+            }
         }
     }
 
     fn restart(&mut self, node: usize) {
         self.runs[node] += 1;
-        self.nodes[node] = ConfigFollower::default();
+        self.nodes[node] = follower();
     }
 
     /// Asks the table and all peers in reach, as a router does at its start.
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -120,6 +120,13 @@
         deltas.iter().map(|text| text.to_string()).collect()
     }
 
+    /// Part of a snapshot of the configuration in force.
+    pub(crate) fn snapshot_part(&self, part: u32) -> Option<String> {
+        let follower = self.follower.read();
+        let follower = follower.unwrap_or_else(PoisonError::into_inner);
+        follower.snapshot_part(usize::try_from(part).ok()?)
+    }
+
     /// Notes that a peer names a revision, and where to read it.
     pub(crate) fn hear(&self, revision: Revision, address: SocketAddr) {
         {
@@ -139,6 +146,9 @@
     /// Takes a delta into force when it is the next one.
     fn offer(&self, text: &str) -> jasminewall_core::Result<DeltaOutcome> {
         let outcome = self.follower_mut().offer(text)?;
+        if let DeltaOutcome::Restored(revision) = &outcome {
+            tracing::info!(revision, "configuration revision in force, from a snapshot");
+        }
         if let DeltaOutcome::Applied(delta) = &outcome {
             tracing::info!(revision = delta.revision, "configuration revision in force");
             let mut leaving = self.endpoints_leaving();
--- a/crates/router/src/fleet/config.rs
+++ b/crates/router/src/fleet/config.rs
@@ -1,12 +1,19 @@
 //! Reads configuration revisions from the table and from peers.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use {
     futures_util::future::join_all,
     jasminewall_core::{
         Revision,
-        revision::{DeltaOutcome, HEAD_KEY, HeadRow, log_key},
+        member::owner_of,
+        revision::{
+            DeltaOutcome, HEAD_KEY, HeadRow, SNAPSHOT_EVERY, SNAPSHOT_PREFIX, log_key, snapshot_key,
+        },
     },
     tarpc::context,
     tokio::time::timeout,
@@ -15,6 +22,8 @@
 use super::{FleetIntervals, PLATFORM_TIMEOUT, membership, neighbour_views, pause};
 use crate::{peer, state::RouterState};
 
+/// Longest wait for a whole snapshot, 45 MB at the target size.
+const SNAPSHOT_TIMEOUT: Duration = Duration::from_secs(30);
 /// Prefix of the rows of all revisions.
 const LOG_PREFIX: &str = "config/log/";
 
@@ -64,7 +73,14 @@
     };
     let before = revision(state);
     state.fleet.follower_mut().hear(head);
-    if before == 0 && head > 0 {
+    let snapshot = match before {
+        0 if head > 0 => read_snapshot(state).await,
+        _ => Ok(()),
+    };
+    if let Err(error) = snapshot {
+        tracing::warn!(%error, "cannot read a snapshot of the configuration; the whole log is read");
+    }
+    if revision(state) == 0 && head > 0 {
         let rows = timeout(PLATFORM_TIMEOUT, table.scan(LOG_PREFIX)).await??;
         for row in rows {
             state.fleet.offer(&row.value)?;
@@ -110,7 +126,18 @@
             .inspect_err(|_| peer::disconnect(state, address))?;
         let mut progress = false;
         for text in &deltas {
-            progress |= matches!(state.fleet.offer(text)?, DeltaOutcome::Applied(_));
+            let mut outcome = state.fleet.offer(text)?;
+            while let DeltaOutcome::More(part) = outcome {
+                let part = client.config_part(context::current(), u32::try_from(part)?);
+                // A peer whose revision changed meanwhile sends parts of another snapshot, which
+                // start over with part 0.
+                let Some(text) = part.await? else { break };
+                outcome = state.fleet.offer(&text)?;
+            }
+            progress |= matches!(
+                outcome,
+                DeltaOutcome::Applied(_) | DeltaOutcome::Restored(_)
+            );
         }
         if !progress {
             return Ok(());
@@ -118,6 +145,50 @@
     }
 }
 
+/// Takes the newest snapshot of the object store into force, if there is one.
+async fn read_snapshot(state: &Arc<RouterState>) -> anyhow::Result<()> {
+    let store = state.ports.object.as_ref();
+    let keys = timeout(PLATFORM_TIMEOUT, store.list(SNAPSHOT_PREFIX)).await??;
+    let Some(key) = keys.last() else {
+        return Ok(());
+    };
+    let object = timeout(SNAPSHOT_TIMEOUT, store.get(key)).await??;
+    let text = String::from_utf8(object.unwrap_or_default())?;
+    for part in text.lines() {
+        state.fleet.offer(part)?;
+    }
+    Ok(())
+}
+
+/// Writes a snapshot now and then, so that a router that starts need not read the whole log. The
+/// rendezvous owner of each thousand of revisions writes it.
+async fn write_snapshot(state: &Arc<RouterState>, before: Revision) {
+    let config = state.fleet.config();
+    let revision = config.revision();
+    let turn = revision / SNAPSHOT_EVERY;
+    if turn <= before / SNAPSHOT_EVERY {
+        return;
+    }
+    let candidates = {
+        let domain = &state.setting.failure_domain;
+        state.fleet.members().candidates(domain, Instant::now())
+    };
+    let owner = owner_of(&snapshot_key(turn), candidates.iter().map(|(vm, _)| vm));
+    if owner != Some(&state.holder.vm) {
+        return;
+    }
+    let key = snapshot_key(revision);
+    let put = state
+        .ports
+        .object
+        .put_new(&key, config.snapshot().into_bytes());
+    match timeout(SNAPSHOT_TIMEOUT, put).await {
+        Ok(Ok(_)) => tracing::info!(revision, "snapshot of the configuration written"),
+        Ok(Err(error)) => tracing::warn!(%error, revision, "cannot write a snapshot"),
+        Err(_) => tracing::warn!(revision, "writing a snapshot took too long"),
+    }
+}
+
 /// Tells neighbours with an older revision of the new one; they read it from here.
 fn announce_since(state: &Arc<RouterState>, before: Revision) {
     let now = revision(state);
@@ -126,6 +197,7 @@
     }
     let state = state.clone();
     tokio::spawn(async move {
+        write_snapshot(&state, before).await;
         let behind = neighbour_views(&state).into_iter();
         let behind = behind.filter(|view| view.revision < now);
         join_all(behind.map(|view| membership::probe(&state, view.address))).await;
--- a/crates/router/src/peer.rs
+++ b/crates/router/src/peer.rs
@@ -160,6 +160,10 @@
         self.state.fleet.deltas_after(revision)
     }
 
+    async fn config_part(self, _: context::Context, part: u32) -> Option<String> {
+        self.state.fleet.snapshot_part(part)
+    }
+
     async fn suspects(
         self,
         _: context::Context,
--- a/crates/testkit/examples/fleet_cost.rs
+++ b/crates/testkit/examples/fleet_cost.rs
@@ -568,6 +568,10 @@
         Vec::new()
     }
 
+    async fn config_part(self, _: context::Context, _: u32) -> Option<String> {
+        None
+    }
+
     async fn suspects(self, _: context::Context, _: Vec<SuspectReport>) -> Vec<SuspectReport> {
         Vec::new()
     }
--- a/crates/testkit/tests/fleet_routers.rs
+++ b/crates/testkit/tests/fleet_routers.rs
@@ -22,7 +22,7 @@
         member::{MemberState, RegistrationRow, registration_key},
         order::{EngineOrder, ModelVersion, OrderRow, order_key},
         record,
-        revision::{ConfigChange, HEAD_KEY, HeadRow, log_key},
+        revision::{ConfigChange, HEAD_KEY, HeadRow, SNAPSHOT_PREFIX, log_key},
         shard_of,
     },
     jasminewall_platform::{FaultPlan, MemoryPlatform, RowWrite, TransactOutcome, VmState},
@@ -270,6 +270,43 @@
     bench.stop().await;
 }
 
+/// Guards against a start that needs the whole log, from the store and from a peer without it.
+#[tokio::test(flavor = "multi_thread")]
+async fn restart_takes_a_snapshot_from_the_store_and_from_a_peer() {
+    let mut bench = FleetBench::start(3).await;
+    for _ in 0..1_001 {
+        let text = "[[budget]]\nname = \"more\"\ncustomer = \"parish\"\n";
+        bench.publish(text).await;
+    }
+    let ready =
+        |router: &RouterHandle| router.state.is_ready() && router.state.version().revision == 1_002;
+    bench.wait("in force", IN_FORCE, ready).await;
+    let started = Instant::now();
+    let ports = bench.platform.ports();
+    while ports.object.list(SNAPSHOT_PREFIX).await.unwrap().is_empty() {
+        assert!(started.elapsed() < IN_FORCE, "no snapshot is written");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    // Without an early row of the log, only a snapshot leads to the head.
+    let row = ports.table.read(&log_key(500)).await.unwrap().unwrap();
+    let trim = vec![RowWrite::delete(row.key, row.version)];
+    ports.table.transact(trim).await.unwrap();
+    for router in &mut bench.routers {
+        router.take().unwrap().abort().await;
+    }
+    bench.restart(0).await;
+    bench.wait("restored from the store", IN_FORCE, ready).await;
+    bench.platform.set_faults(FaultPlan {
+        table_down: true,
+        object_down: true,
+        ..FaultPlan::default()
+    });
+    bench.restart(1).await;
+    bench.wait("restored from a peer", IN_FORCE, ready).await;
+    bench.platform.set_faults(FaultPlan::default());
+    bench.stop().await;
+}
+
 /// Guards against work sent into a planned stop, and against requests that it interrupts.
 #[tokio::test(flavor = "multi_thread")]
 async fn planned_stop_interrupts_no_request_and_keeps_new_work_off() {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -100,8 +100,11 @@
     async fn transfer(request: TransferRequest) -> TransferReply;
     /// Accepts no more tokens from a holder that is gone and says what was received.
     async fn close_giver(giver: HolderId) -> CloseReply;
-    /// Configuration deltas after a revision, in order, as JSON texts.
+    /// Configuration deltas after a revision, in order, as JSON texts; the first part of a snapshot
+    /// when the deltas are not kept.
     async fn configs_after(revision: Revision) -> Vec<String>;
+    /// Part of a snapshot of the configuration in force, as JSON text.
+    async fn config_part(part: u32) -> Option<String>;
     /// Shares crash counts of fingerprints and returns the receiver's own.
     async fn suspects(reports: Vec<SuspectReport>) -> Vec<SuspectReport>;
     /// Charges a stream that the caller resumed elsewhere; `false` when it is not known here.
