--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -100,6 +100,13 @@
             .clamp(1, limit.max(1))
     }
 
+    /// Mean output of the requests of a customer on a route that ended, at most `limit`; `None`
+    /// before the first one.
+    pub fn learned(&self, customer: &CustomerId, route: &RouteId, limit: Tokens) -> Option<Tokens> {
+        let mean = self.means.get(&(customer.clone(), route.clone()))?;
+        Some((*mean as Tokens).clamp(1, limit.max(1)))
+    }
+
     /// Learns the output of a request that ended.
     pub fn learn(&mut self, customer: &CustomerId, route: &RouteId, output: Tokens) {
         let key = (customer.clone(), route.clone());
@@ -122,6 +129,9 @@
     pub class: WorkClass,
     /// Expected work in tokens.
     pub work: Tokens,
+    /// Work by which the deadline is judged, in tokens: a length that is only assumed from the class
+    /// must not justify a refusal.
+    pub least: Tokens,
     /// Time by which the answer must be whole.
     pub deadline: Instant,
     /// What the caller of the queue needs to go on.
@@ -239,7 +249,7 @@
     ) -> Vec<RefusedWork<T>> {
         let class = work.class;
         let wait = self.expected_wait(&work.customer, work.weight, class, view);
-        if now + wait * WAIT_MARGIN + run_time(work.work, view) > work.deadline {
+        if now + wait * WAIT_MARGIN + run_time(work.least, view) > work.deadline {
             return vec![RefusedWork {
                 item: work.item,
                 code: RefusalCode::DeadlineTooShort,
@@ -276,7 +286,7 @@
             };
             let account = self.accounts.get_mut(&customer)?;
             let head = account.queues[class.index()].front()?;
-            if now + run_time(head.work, view) > head.deadline {
+            if now + run_time(head.least, view) > head.deadline {
                 let work = self.pop(&customer, class)?;
                 return Some(QueueRelease::Refuse(RefusedWork {
                     item: work.item,
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -83,7 +83,7 @@
     /// Queues are full.
     Overloaded = "overloaded", 429, No, "The fleet is at its capacity; try again later.";
     /// The work cannot end before the deadline of the request.
-    DeadlineTooShort = "deadline_too_short", 503, No, "The work cannot finish before its deadline at the present load.";
+    DeadlineTooShort = "deadline_too_short", 503, No, "The work is not expected to finish before its deadline at the present load, so it was not run.";
     /// The router is stopping.
     Draining = "draining", 503, No, "This router is stopping; try again at once, another one will answer.";
     /// The router has no configuration in force.
--- a/crates/router/src/api/execute.rs
+++ b/crates/router/src/api/execute.rs
@@ -173,6 +173,7 @@
     for (name, value) in [
         ("x-jasminewall-request", caller.id.to_string()),
         ("x-jasminewall-holder", api.state.holder.to_string()),
+        ("x-jasminewall-budget", caller.budget.to_string()),
     ] {
         if let Ok(value) = HeaderValue::from_str(&value) {
             headers.insert(name, value);
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -172,7 +172,7 @@
     }
     let allowed = life.may_dispatch() && (failure.is_proof() || state.routing.withdraw_retry());
     if !allowed {
-        return Err(refusal_of(life));
+        return Err(refusal_of(life, failure));
     }
     // A silent connection says nothing of the endpoint, which may be tried again on a new one.
     if failure != AttemptFailure::Silent {
@@ -181,15 +181,16 @@
     let isolate = verdict == SuspectVerdict::Isolate;
     match queue::place_again(state, job, guard, isolate).await {
         Some(record) => Ok(record),
-        None => Err(refusal_of(life)),
+        None => Err(refusal_of(life, failure)),
     }
 }
 
 /// Refusal of a job that is given up, with a code that is true for all its attempts.
-fn refusal_of(life: &RequestLife) -> Refusal {
-    if life.is_unrun() {
-        RefusalCode::EndpointUnreachable.into()
-    } else {
-        RefusalCode::OutcomeUnknown.into()
-    }
+fn refusal_of(life: &RequestLife, last: AttemptFailure) -> Refusal {
+    let code = match last {
+        _ if life.is_unrun() => RefusalCode::EndpointUnreachable,
+        AttemptFailure::Silent => RefusalCode::AnswerTimeout,
+        _ => RefusalCode::OutcomeUnknown,
+    };
+    code.into()
 }
--- a/crates/router/src/dispatch/attempt.rs
+++ b/crates/router/src/dispatch/attempt.rs
@@ -66,7 +66,7 @@
 /// Longest wait for the head of an answer.
 ///
 /// A streamed answer begins at once. Any other answer is sent when it is whole, so that silence
-/// shows only late; half of the time that is left remains for a second attempt.
+/// shows only late; half of the time that is left remains for a second attempt, if one is allowed.
 fn head_limit(state: &RouterState, job: &DispatchJob) -> Duration {
     let left = job.deadline.saturating_duration_since(Instant::now());
     let packed: Vec<u8> = job
@@ -80,8 +80,10 @@
         .any(|window| window == STREAM_FIELD);
     if streams {
         left.min(state.routing.head_timeout())
-    } else {
+    } else if job.route.idempotent {
         left / 2
+    } else {
+        left
     }
 }
 
--- a/crates/router/src/dispatch/queue.rs
+++ b/crates/router/src/dispatch/queue.rs
@@ -311,11 +311,18 @@
     sender: oneshot::Sender<Result<PlacedJob, Refusal>>,
 ) -> Result<(PoolKey, Tokens), Refusal> {
     let (key, expected) = pool_for(state, job)?;
+    let learned = {
+        let inner = state.routing.inner();
+        let lengths = &inner.lengths;
+        let learned = lengths.learned(&job.customer, &job.route.name, job.work);
+        learned.unwrap_or(1)
+    };
     let queued = QueuedWork {
         customer: job.customer.clone(),
         weight: weight_of(state, job),
         class: job.class,
         work: expected,
+        least: learned,
         deadline: job.deadline,
         item: WaitingJob {
             request: job.request.clone(),
--- a/crates/router/src/spend.rs
+++ b/crates/router/src/spend.rs
@@ -28,6 +28,7 @@
 mod reclaim;
 mod refill;
 mod transfer;
+mod unresolved;
 
 pub use self::reclaim::ReclaimReport;
 use self::refill::{RefillOutcome, RestView};
@@ -70,6 +71,8 @@
 struct HoldNote {
     hold: HoldRequest,
     endpoint: Option<EndpointId>,
+    /// Whether the request ended without proof of what it used.
+    is_unresolved: bool,
 }
 
 #[derive(Clone, Copy)]
@@ -196,6 +199,7 @@
             Self::Ran => "ran",
             Self::Cancelled => "cancelled",
             Self::NotRun => "failed",
+            // A hold of unknown outcome has no charge line until the outcome is proven.
             Self::Unknown => "unknown",
         }
     }
@@ -258,6 +262,7 @@
     let note = HoldNote {
         hold: hold.clone(),
         endpoint: None,
+        is_unresolved: false,
     };
     ledger.notes.insert(hold.request.clone(), note);
     true
@@ -271,6 +276,9 @@
 }
 
 /// Replaces the hold of a request by its charge.
+///
+/// A request that may have run is not charged on a guess: its hold stays until the endpoint's list
+/// of streams proves the charge, and the result is `None`.
 pub(crate) fn settle(
     state: &RouterState,
     request: &RequestId,
@@ -279,6 +287,13 @@
 ) -> Option<RequestCharge> {
     let now = Instant::now();
     let mut ledger = state.spend.ledger();
+    if end == RequestEnd::Unknown {
+        let note = ledger.notes.get_mut(request)?;
+        note.is_unresolved = true;
+        let held = note.hold.amount;
+        tracing::warn!(%request, held, "the request may have run; its tokens stay held");
+        return None;
+    }
     let charge = ledger.ledger.settle(request, tokens).ok()?;
     let note = ledger.notes.remove(request)?;
     let forecast = ledger
@@ -346,18 +361,23 @@
 
 /// Commits charges until the router stops.
 pub(crate) async fn run(state: Arc<RouterState>) {
+    tokio::join!(run_commits(&state), unresolved::run(state.clone()));
+}
+
+async fn run_commits(state: &RouterState) {
     loop {
         tokio::select! {
             () = tokio::time::sleep(FLUSH_INTERVAL) => {}
             () = state.stop.cancelled() => return,
         }
-        commits::flush(&state).await;
+        commits::flush(state).await;
     }
 }
 
 /// Commits the last charges, returns all grants and folds the rows when the router stops.
 pub(crate) async fn close(state: &RouterState) {
     for _ in 0..CLOSE_ATTEMPTS {
+        unresolved::resolve(state).await;
         commits::flush(state).await;
         if commits::return_all(state).await {
             tracing::info!("all charges are committed and all grants returned");
--- a/crates/router/src/spend/reclaim.rs
+++ b/crates/router/src/spend/reclaim.rs
@@ -31,7 +31,7 @@
 /// Largest list of streams that is read, in bytes.
 const LIST_LIMIT: usize = 4 << 20;
 /// State of a listed stream that has not ended.
-const RUNNING: &str = "running";
+pub(super) const RUNNING: &str = "running";
 
 /// State of a dead router's account after an attempt to settle it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -54,16 +54,16 @@
 
 /// Stream of an endpoint's list.
 #[derive(Deserialize)]
-struct ListedStream {
-    request: RequestId,
+pub(super) struct ListedStream {
+    pub(super) request: RequestId,
     budget: Option<BudgetId>,
-    state: SmolStr,
-    usage: StreamUsage,
+    pub(super) state: SmolStr,
+    pub(super) usage: StreamUsage,
 }
 
 #[derive(Deserialize)]
-struct StreamUsage {
-    total_tokens: Tokens,
+pub(super) struct StreamUsage {
+    pub(super) total_tokens: Tokens,
 }
 
 impl RouterState {
@@ -290,7 +290,7 @@
 }
 
 /// Streams of a holder at one endpoint.
-async fn list_streams(
+pub(super) async fn list_streams(
     record: &EndpointRecord,
     dead: &HolderId,
 ) -> anyhow::Result<Vec<ListedStream>> {
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -50,10 +50,17 @@
     order: VecDeque<String>,
 }
 
-/// Stream that goes on when its connection is lost.
+/// Who pays for a request, as the router said.
+struct StreamPayer {
+    holder: String,
+    budget: String,
+}
+
+/// Request that goes on when its connection is lost. Whole answers are listed like streams: a list
+/// that lacks them would prove that their tokens were not used.
 struct StreamRecord {
     job: EngineJob,
-    holder: String,
+    payer: StreamPayer,
     progress: watch::Sender<StreamProgress>,
 }
 
@@ -160,12 +167,21 @@
             .token_ms
             .map_or(engine.token_time, Duration::from_millis),
     };
-    if body["stream"].as_bool().unwrap_or(false) {
-        let holder = text_of(&headers, "x-jasminewall-holder");
-        let record = engine.start(request, holder, job);
+    let is_stream = body["stream"].as_bool().unwrap_or(false);
+    let payer = StreamPayer {
+        holder: text_of(&headers, "x-jasminewall-holder"),
+        budget: text_of(&headers, "x-jasminewall-budget"),
+    };
+    let record = engine.start(request, payer, job, is_stream);
+    if is_stream {
         return events(engine, record, 0, &fault);
     }
-    tokio::time::sleep(job.token_time * u32::try_from(job.output).unwrap_or(u32::MAX)).await;
+    let mut progress = record.progress.subscribe();
+    let ended = progress.wait_for(|progress| progress.state != StreamState::Running);
+    if ended.await.is_err() {
+        return StatusCode::INTERNAL_SERVER_ERROR.into_response();
+    }
+    let job = &record.job;
     let text: Vec<String> = (0..job.output).map(|index| engine.word(index)).collect();
     Json(json!({
         "id": job.id, "object": "chat.completion", "created": 0, "model": job.model,
@@ -220,7 +236,7 @@
     let streams = engine.streams();
     let listed = streams.by_request.iter().filter(|(_, record)| {
         let holder = query.holder.as_ref();
-        holder.is_none_or(|holder| *holder == record.holder)
+        holder.is_none_or(|holder| *holder == record.payer.holder)
     });
     let listed: Vec<Value> = listed.map(|(id, record)| record.summary(id)).collect();
     Json(json!({"streams": listed})).into_response()
@@ -256,8 +272,8 @@
             StreamState::Ended => "ended",
             StreamState::Cancelled => "cancelled",
         };
-        json!({"request": id, "holder": self.holder, "state": state,
-            "usage": self.job.usage(progress.generated)})
+        json!({"request": id, "holder": self.payer.holder, "budget": self.payer.budget,
+            "state": state, "usage": self.job.usage(progress.generated)})
     }
 }
 
@@ -275,10 +291,16 @@
     }
 
     /// Generates a stream in the background, whether or not anyone reads it.
-    fn start(&self, request: String, holder: String, job: EngineJob) -> Arc<StreamRecord> {
+    fn start(
+        &self,
+        request: String,
+        payer: StreamPayer,
+        job: EngineJob,
+        is_stream: bool,
+    ) -> Arc<StreamRecord> {
         let record = Arc::new(StreamRecord {
             job,
-            holder,
+            payer,
             progress: watch::Sender::default(),
         });
         let mut streams = self.streams();
@@ -290,11 +312,28 @@
             streams.by_request.remove(&oldest);
         }
         drop(streams);
-        tokio::spawn(generate(record.clone()));
+        if is_stream {
+            tokio::spawn(generate(record.clone()));
+        } else {
+            tokio::spawn(generate_whole(record.clone()));
+        }
         record
     }
 }
 
+/// Generates a whole answer with one timer.
+async fn generate_whole(record: Arc<StreamRecord>) {
+    let tokens = record.job.output;
+    let time = record.job.token_time * u32::try_from(tokens).unwrap_or(u32::MAX);
+    tokio::time::sleep(time).await;
+    record.progress.send_modify(|progress| {
+        if progress.state == StreamState::Running {
+            progress.generated = tokens;
+            progress.state = StreamState::Ended;
+        }
+    });
+}
+
 async fn generate(record: Arc<StreamRecord>) {
     for _ in 0..record.job.output {
         tokio::time::sleep(record.job.token_time).await;
--- a/crates/testkit/src/sim/routing/router.rs
+++ b/crates/testkit/src/sim/routing/router.rs
@@ -152,6 +152,7 @@
             weight: 1,
             class: load.class,
             work,
+            least: work,
             deadline: epoch + Duration::from_micros(load.deadline),
             item: request,
         };
--- a/crates/testkit/tests/caller_completions.rs
+++ b/crates/testkit/tests/caller_completions.rs
@@ -193,6 +193,7 @@
         .open(Method::POST, PATH, &deadline, body)
         .await
         .unwrap();
+    assert_eq!(response.status(), 200, "the request is admitted");
     let request = response.headers()["x-jasminewall-request"]
         .to_str()
         .unwrap()
--- a/crates/testkit/tests/caller_services.rs
+++ b/crates/testkit/tests/caller_services.rs
@@ -116,6 +116,7 @@
         "content-length",
         "content-type",
         "host",
+        "x-jasminewall-budget",
         "x-jasminewall-holder",
         "x-jasminewall-request",
         "x-kept",
--- a/crates/testkit/tests/fleet_routers.rs
+++ b/crates/testkit/tests/fleet_routers.rs
@@ -11,7 +11,7 @@
 use {
     bytes::Bytes,
     http_body_util::{BodyExt, Full},
-    hyper::Request,
+    hyper::{Request, Response, body::Incoming},
     hyper_util::{
         client::legacy::{Client, connect::HttpConnector},
         rt::TokioExecutor,
@@ -381,6 +381,25 @@
     bench.stop().await;
 }
 
+/// Sends requests to a stopping router until it refuses one; its port must not close before that.
+///
+/// The requests need no endpoint, because one that waits for a slot could outlast the time in which
+/// the router refuses.
+async fn first_refusal(bench: &FleetBench, address: SocketAddr) -> Response<Incoming> {
+    loop {
+        let request = Request::get(format!("http://{address}/v1/models"))
+            .header("authorization", format!("Bearer {KEY}"))
+            .body(Full::default())
+            .unwrap();
+        let response = bench.client.request(request).await.unwrap();
+        if response.status() == 503 {
+            return response;
+        }
+        assert_eq!(response.status(), 200);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// Guards against streams that a SIGTERM cuts off, requests it loses and registrations it leaves.
 #[tokio::test(flavor = "multi_thread")]
 async fn graceful_stop_interrupts_no_stream_and_removes_the_registration() {
@@ -413,16 +432,10 @@
         let seen = members.iter().find(|view| view.holder.vm == vm);
         seen.is_some_and(|view| view.state == MemberState::Leaving)
     };
-    bench.wait("told of the leave", NO_NEW_WORK, leaving).await;
-    tokio::time::sleep(Duration::from_millis(1_200)).await;
-    let request = Request::post(format!("http://{address}/v1/chat/completions"))
-        .header("authorization", format!("Bearer {KEY}"))
-        .body(Full::new(Bytes::from(
-            r#"{"model":"glass-7b","messages":[]}"#,
-        )))
-        .unwrap();
-    let refused = bench.client.request(request).await.unwrap();
-    assert_eq!(refused.status(), 503);
+    let ((), refused) = tokio::join!(
+        bench.wait("told of the leave", NO_NEW_WORK, leaving),
+        first_refusal(&bench, address),
+    );
     let body = refused.into_body().collect().await.unwrap().to_bytes();
     assert_eq!(serde_json::from_slice::<Value>(&body).unwrap()["ran"], "no");
     while let Some(answer) = streams.join_next().await {
