Separate the ports, the settings reader and the binary

Cause: the adapter of the users' platform takes the folder platform/, and the library of the router must not depend on it; the reader of INI settings was private to the router. Change: crates/platform becomes crates/ports (jasminewall-ports), the reader moves to crates/setting, the binary jasminewall to crates/jasminewall. Conclusion: no behaviour changes.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -8,7 +8,7 @@
         revision::{HEAD_KEY, HeadRow, log_key},
         shard_of,
     },
-    jasminewall_platform::{Category, PlatformPorts, RowWrite, TransactOutcome},
+    jasminewall_ports::{Category, PlatformPorts, RowWrite, TransactOutcome},
     serde::de::DeserializeOwned,
 };
 
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -81,10 +81,10 @@
 
 impl std::error::Error for Error {}
 
-impl From<jasminewall_platform::Error> for Error {
-    fn from(error: jasminewall_platform::Error) -> Self {
+impl From<jasminewall_ports::Error> for Error {
+    fn from(error: jasminewall_ports::Error) -> Self {
         let exit = match error.category() {
-            jasminewall_platform::Category::Invalid => ExitKind::Refused,
+            jasminewall_ports::Category::Invalid => ExitKind::Refused,
             _ => ExitKind::Unreachable,
         };
         Self::new(exit, error.to_string())
--- a/crates/ctl/src/ledger.rs
+++ b/crates/ctl/src/ledger.rs
@@ -4,7 +4,7 @@
 
 use {
     jasminewall_core::{BudgetId, Tokens},
-    jasminewall_platform::TableRow,
+    jasminewall_ports::TableRow,
     serde::Serialize,
     serde_json::{Value, json},
 };
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! ```
 //! use jasminewall_ctl::{ApplyOption, ControlClient, DeclaredText};
-//! use jasminewall_platform::MemoryPlatform;
+//! use jasminewall_ports::MemoryPlatform;
 //!
 //! # tokio::runtime::Runtime::new().expect("runtime").block_on(async {
 //! let client = ControlClient::new(MemoryPlatform::new().ports(), 4);
--- a/crates/ctl/src/setting.rs
+++ b/crates/ctl/src/setting.rs
@@ -1,6 +1,6 @@
 //! Settings of the command line, read from an INI file.
 
-use {ini::Ini, jasminewall_platform::HttpPlatform};
+use {ini::Ini, jasminewall_ports::HttpPlatform};
 
 use crate::{ControlClient, Error, ExitKind, Result};
 
--- a/crates/ctl/tests/control.rs
+++ b/crates/ctl/tests/control.rs
@@ -13,7 +13,7 @@
         ApplyOption, CommandReport, ControlClient, ControlSetting, DeclaredText, DrainTarget,
         Error, ExitKind, TopUpOrder,
     },
-    jasminewall_platform::{FaultPlan, MemoryPlatform, ObjectPort, RowWrite, TablePort},
+    jasminewall_ports::{FaultPlan, MemoryPlatform, ObjectPort, RowWrite, TablePort},
     serde_json::json,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
--- a/crates/router/src/main.rs
+++ b/crates/jasminewall/src/main.rs
@@ -9,10 +9,11 @@
 
 use {
     anyhow::{Context, Result},
-    jasminewall_platform::HttpPlatform,
+    jasminewall_ports::HttpPlatform,
     jasminewall_router::{
         EmbedFleet, RouterHandle, RouterSetting, StandinFleet, StandinSetting, StopPlan,
-        setting::LogSetting, telemetry,
+        setting::{LogFormat, LogSetting},
+        telemetry,
     },
     tokio::signal::unix::{SignalKind, signal},
 };
@@ -73,7 +74,7 @@
 
 async fn run_embed(ip: Option<String>, log: Option<String>) -> Result<()> {
     let level = log.as_deref().unwrap_or("warn");
-    telemetry::start(telemetry::LogFormat::Text, level)?;
+    telemetry::start(LogFormat::Text, level)?;
     let ip: IpAddr = ip
         .as_deref()
         .unwrap_or("127.0.0.1")
--- a/crates/platform/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -1,7 +1,7 @@
 //! Ports to the platform's table service, object store, VM list and weight store, and their adapters.
 //!
 //! ```
-//! use jasminewall_platform::{MemoryPlatform, RowWrite, TransactOutcome};
+//! use jasminewall_ports::{MemoryPlatform, RowWrite, TransactOutcome};
 //!
 //! # tokio::runtime::Runtime::new().expect("runtime").block_on(async {
 //! let ports = MemoryPlatform::new().ports();
--- a/crates/platform/tests/platform.rs
+++ b/crates/ports/tests/platform.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use {
-    jasminewall_platform::{
+    jasminewall_ports::{
         Category, FaultPlan, HttpPlatform, MemoryPlatform, ObjectPort, RowWrite, TablePort,
         TransactOutcome, VmListPort, VmState, WeightPort,
     },
@@ -131,7 +131,7 @@
     platform.require_operator("secret");
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
-    let server = tokio::spawn(jasminewall_platform::serve(platform.clone(), listener));
+    let server = tokio::spawn(jasminewall_ports::serve(platform.clone(), listener));
     let write = || vec![RowWrite::create("config/head", "{}")];
     let plain = HttpPlatform::new(&address).unwrap();
     let wrong = plain.clone().with_credential("guess").unwrap();
--- a/crates/router/src/api/once.rs
+++ b/crates/router/src/api/once.rs
@@ -18,7 +18,7 @@
         claim::{ClaimDecision, ClaimRow, ClaimState, HolderView, claim_key},
         refusal::RunState,
     },
-    jasminewall_platform::{Category, RowWrite, TransactOutcome},
+    jasminewall_ports::{Category, RowWrite, TransactOutcome},
     sha2::{Digest, Sha256},
 };
 
--- a/crates/router/src/embed.rs
+++ b/crates/router/src/embed.rs
@@ -15,7 +15,7 @@
         revision::{ConfigChange, HEAD_KEY, HeadRow, log_key},
         shard_of,
     },
-    jasminewall_platform::{MemoryPlatform, PlatformPorts, RowWrite, VmState},
+    jasminewall_ports::{MemoryPlatform, PlatformPorts, RowWrite, VmState},
     jasminewall_standin::{ModelEngine, PlainService},
     tokio::{net::TcpListener, task::JoinSet},
 };
@@ -80,7 +80,7 @@
         let mut tasks = JoinSet::new();
         let platform_listener = TcpListener::bind((ip, 0)).await?;
         let platform_address = platform_listener.local_addr()?;
-        tasks.spawn(jasminewall_platform::serve(
+        tasks.spawn(jasminewall_ports::serve(
             platform.clone(),
             platform_listener,
         ));
@@ -199,7 +199,7 @@
         for vm in &setting.vms {
             platform.set_vm(vm, Some(VmState::Live));
         }
-        tasks.spawn(jasminewall_platform::serve(platform.clone(), listener));
+        tasks.spawn(jasminewall_ports::serve(platform.clone(), listener));
         Ok(Self {
             platform,
             platform_address,
--- a/crates/router/src/fleet/membership.rs
+++ b/crates/router/src/fleet/membership.rs
@@ -16,7 +16,7 @@
             registration_key,
         },
     },
-    jasminewall_platform::VmState,
+    jasminewall_ports::VmState,
     jasminewall_wire::{ProbeReply, ProbeRequest},
     smol_str::SmolStr,
     tarpc::context,
--- a/crates/router/src/fleet/placement.rs
+++ b/crates/router/src/fleet/placement.rs
@@ -23,7 +23,7 @@
         },
         record::EndpointRecord,
     },
-    jasminewall_platform::{RowWrite, TransactOutcome},
+    jasminewall_ports::{RowWrite, TransactOutcome},
     tokio::time::timeout,
 };
 
--- a/crates/router/src/fleet/register.rs
+++ b/crates/router/src/fleet/register.rs
@@ -10,7 +10,7 @@
         budget::grant_key,
         member::{RegistrationRow, registration_key},
     },
-    jasminewall_platform::{RowWrite, TableRow, TransactOutcome},
+    jasminewall_ports::{RowWrite, TableRow, TransactOutcome},
     tokio::time::timeout,
 };
 
--- a/crates/router/src/setting.rs
+++ b/crates/router/src/setting.rs
@@ -1,7 +1,6 @@
 //! Settings of a router, read from an INI file and checked as a whole.
 
 use std::{
-    collections::BTreeMap,
     fmt,
     net::{Ipv4Addr, SocketAddr},
     ops::Deref,
@@ -11,11 +10,11 @@
 };
 
 use {
-    ini::Ini,
     jasminewall_core::{DomainId, ShardId, VmId},
+    jasminewall_setting::SettingReader,
 };
 
-use crate::telemetry::LogFormat;
+pub use jasminewall_setting::{LogFormat, LogSetting, SettingReport};
 
 /// Sections and keys of the settings of a router, as listed in `docs/settings.md`.
 pub const ROUTER_KEYS: &[(&str, &[&str])] = &[
@@ -45,8 +44,6 @@
     ("log", &["format", "level"]),
 ];
 
-/// Similarity above which a known name is offered for an unknown one, from 0 to 1.
-const SIMILARITY_MIN: f64 = 0.6;
 /// Smallest fleet secret in bytes; a shorter one can be guessed from a recorded token.
 const SECRET_MIN: usize = 12;
 
@@ -101,24 +98,6 @@
     }
 }
 
-/// Form and level of the log.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LogSetting {
-    /// Form of the lines.
-    pub format: LogFormat,
-    /// Filter such as `info` or `jasminewall_router=debug,warn`.
-    pub level: String,
-}
-
-impl Default for LogSetting {
-    fn default() -> Self {
-        Self {
-            format: LogFormat::Text,
-            level: "info".into(),
-        }
-    }
-}
-
 /// Settings of one router.
 #[derive(Clone, Debug)]
 pub struct RouterSetting {
@@ -187,7 +166,7 @@
             platform: reader
                 .parse::<SocketAddr>("platform", "address", "ip:port", None)
                 .to_string(),
-            secret: reader.secret(),
+            secret: read_secret(&mut reader),
             shards: reader.count("fleet", "shards", None),
             limits: CallerLimits {
                 body_bytes: reader.count("limits", "body_bytes", Some(limits.body_bytes)),
@@ -246,257 +225,35 @@
     }
 }
 
-/// All mistakes of one settings file, a line each.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct SettingReport {
-    faults: Vec<String>,
-}
-
-impl fmt::Display for SettingReport {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} mistake(s) in the settings", self.faults.len())?;
-        for fault in &self.faults {
-            write!(f, "\n  {fault}")?;
-        }
-        Ok(())
-    }
-}
-
-impl std::error::Error for SettingReport {}
-
-/// Reads values and collects every mistake.
-struct SettingReader {
-    values: BTreeMap<(String, String), String>,
-    faults: Vec<String>,
-}
-
-impl SettingReader {
-    fn new(text: &str, known: &[(&str, &[&str])]) -> Result<Self, SettingReport> {
-        let ini = Ini::load_from_str(text).map_err(|error| SettingReport {
-            faults: vec![format!("line {}: {}", error.line, error.msg)],
-        })?;
-        let mut reader = Self {
-            values: BTreeMap::new(),
-            faults: Vec::new(),
-        };
-        for (section, properties) in &ini {
-            let section = section.unwrap_or_default();
-            let keys = known.iter().find(|(name, _)| *name == section);
-            let Some((_, keys)) = keys else {
-                if !(section.is_empty() && properties.is_empty()) {
-                    let names = known.iter().map(|(name, _)| *name);
-                    reader.fault(unknown(&format!("[{section}]"), "section", section, names));
-                }
-                continue;
-            };
-            for (key, value) in properties {
-                let place = format!("[{section}] {key}");
-                if !keys.contains(&key) {
-                    reader.fault(unknown(&place, "key", key, keys.iter().copied()));
-                    continue;
-                }
-                let slot = (section.to_owned(), key.to_owned());
-                if reader
-                    .values
-                    .insert(slot, value.trim().to_owned())
-                    .is_some()
-                {
-                    reader.fault(format!("{place}: it is set twice; keep one"));
-                }
-            }
-        }
-        Ok(reader)
-    }
-
-    fn fault(&mut self, fault: impl Into<String>) {
-        self.faults.push(fault.into());
-    }
-
-    fn get(&self, section: &str, key: &str) -> Option<String> {
-        let slot = (section.to_owned(), key.to_owned());
-        self.values
-            .get(&slot)
-            .filter(|text| !text.is_empty())
-            .cloned()
-    }
-
-    fn required(&mut self, section: &str, key: &str) -> String {
-        let value = self.get(section, key);
-        if value.is_none() {
-            self.fault(format!("[{section}] {key}: it is missing; add it"));
-        }
-        value.unwrap_or_default()
-    }
-
-    fn optional<T: FromStr>(&mut self, section: &str, key: &str, form: &str) -> Option<T> {
-        let text = self.get(section, key)?;
-        let value = text.parse().ok();
-        if value.is_none() {
-            self.fault(format!(
-                "[{section}] {key}: '{text}' is not valid; write {form}"
-            ));
-        }
-        value
-    }
-
-    /// Value of a key; without a default the key is required.
-    fn parse<T>(&mut self, section: &str, key: &str, form: &str, default: Option<T>) -> T
-    where
-        T: FromStr + SettingFallback,
-    {
-        if let Some(default) = default
-            && self.get(section, key).is_none()
-        {
-            return default;
-        }
-        if self.required(section, key).is_empty() {
-            return T::fallback();
-        }
-        self.optional(section, key, form)
-            .unwrap_or_else(T::fallback)
-    }
-
-    fn count<T>(&mut self, section: &str, key: &str, default: Option<T>) -> T
-    where
-        T: FromStr + SettingFallback + PartialEq + Default,
-    {
-        let value = self.parse(section, key, "a whole number above 0", default);
-        if value == T::default() {
-            self.fault(format!("[{section}] {key}: write a whole number above 0"));
-        }
-        value
-    }
-
-    fn millis(&mut self, section: &str, key: &str, default: Duration) -> Duration {
-        let default = u64::try_from(default.as_millis()).unwrap_or(u64::MAX);
-        Duration::from_millis(self.count(section, key, Some(default)))
-    }
-
-    fn list<T: FromStr>(&mut self, section: &str, key: &str, form: &str) -> Vec<T> {
-        let text = self.get(section, key).unwrap_or_default();
-        let items = text
-            .split(',')
-            .map(str::trim)
-            .filter(|item| !item.is_empty());
-        let mut values = Vec::new();
-        for item in items {
-            match item.parse() {
-                Ok(value) => values.push(value),
-                Err(_) => {
-                    self.fault(format!(
-                        "[{section}] {key}: '{item}' is not valid; write {form}"
-                    ));
-                }
-            }
-        }
-        values
-    }
-
-    /// Secret from the file of `secret_file` or from `secret`; mistakes never quote it.
-    fn secret(&mut self) -> FleetSecret {
-        let text = match (
-            self.get("fleet", "secret"),
-            self.get("fleet", "secret_file"),
-        ) {
-            (Some(text), None) => text,
-            (None, Some(path)) => match std::fs::read_to_string(Path::new(&path)) {
-                Ok(text) => text.trim().to_owned(),
-                Err(error) => {
-                    self.fault(format!(
-                        "[fleet] secret_file: cannot read '{path}': {error}"
-                    ));
-                    return FleetSecret::default();
-                }
-            },
-            (Some(_), Some(_)) => {
-                self.fault("[fleet] secret: 'secret_file' is set too; keep one of them");
-                return FleetSecret::default();
-            }
-            (None, None) => {
-                self.fault("[fleet] secret: it is missing; add it or 'secret_file'");
+/// Secret from the file of `secret_file` or from `secret`; mistakes never quote it.
+fn read_secret(reader: &mut SettingReader) -> FleetSecret {
+    let text = match (
+        reader.get("fleet", "secret"),
+        reader.get("fleet", "secret_file"),
+    ) {
+        (Some(text), None) => text,
+        (None, Some(path)) => match std::fs::read_to_string(Path::new(&path)) {
+            Ok(text) => text.trim().to_owned(),
+            Err(error) => {
+                reader.fault(format!(
+                    "[fleet] secret_file: cannot read '{path}': {error}"
+                ));
                 return FleetSecret::default();
             }
-        };
-        if text.len() < SECRET_MIN {
-            self.fault(format!(
-                "[fleet] secret: it is too short; use at least {SECRET_MIN} bytes"
-            ));
-        }
-        text.into()
-    }
-
-    fn log(&mut self) -> LogSetting {
-        let defaults = LogSetting::default();
-        let level = self.get("log", "level").unwrap_or(defaults.level);
-        if let Err(error) = level.parse::<tracing_subscriber::EnvFilter>() {
-            self.fault(format!("[log] level: '{level}' is not valid ({error}); write error, warn, info, debug or trace"));
+        },
+        (Some(_), Some(_)) => {
+            reader.fault("[fleet] secret: 'secret_file' is set too; keep one of them");
+            return FleetSecret::default();
         }
-        let format = match self.get("log", "format").as_deref() {
-            None | Some("text") => LogFormat::Text,
-            Some("json") => LogFormat::Json,
-            Some(other) => {
-                self.fault(format!(
-                    "[log] format: '{other}' is not valid; write text or json"
-                ));
-                LogFormat::Text
-            }
-        };
-        LogSetting { format, level }
-    }
-
-    fn finish<T>(self, setting: T) -> Result<T, SettingReport> {
-        if self.faults.is_empty() {
-            return Ok(setting);
+        (None, None) => {
+            reader.fault("[fleet] secret: it is missing; add it or 'secret_file'");
+            return FleetSecret::default();
         }
-        let mut faults = self.faults;
-        faults.dedup();
-        Err(SettingReport { faults })
-    }
-}
-
-/// Value that stands in for a mistaken one while the rest of the file is checked.
-trait SettingFallback {
-    fn fallback() -> Self;
-}
-
-impl SettingFallback for SocketAddr {
-    fn fallback() -> Self {
-        Self::from((Ipv4Addr::LOCALHOST, 0))
-    }
-}
-
-macro_rules! fallback_one {
-    ($($number:ty),*) => {
-        $(impl SettingFallback for $number {
-            fn fallback() -> Self {
-                1
-            }
-        })*
     };
-}
-
-fallback_one!(u32, u64, usize);
-
-/// Fault of an unknown name, with the nearest known one.
-fn unknown<'a>(
-    place: &str,
-    what: &str,
-    name: &str,
-    known: impl Iterator<Item = &'a str> + Clone,
-) -> String {
-    let near = known
-        .clone()
-        .map(|candidate| (strsim::jaro_winkler(name, candidate), candidate))
-        .filter(|(similarity, _)| *similarity >= SIMILARITY_MIN)
-        .max_by(|one, other| one.0.total_cmp(&other.0));
-    match near {
-        Some((_, near)) => format!("{place}: the {what} is not known; did you mean '{near}'?"),
-        None => {
-            let all: Vec<&str> = known.collect();
-            format!(
-                "{place}: the {what} is not known; known are {}",
-                all.join(", ")
-            )
-        }
+    if text.len() < SECRET_MIN {
+        reader.fault(format!(
+            "[fleet] secret: it is too short; use at least {SECRET_MIN} bytes"
+        ));
     }
+    text.into()
 }
--- a/crates/router/src/spend/commits.rs
+++ b/crates/router/src/spend/commits.rs
@@ -15,7 +15,7 @@
         shard_of,
         sizing::{GrantNeed, IDLE_LIMIT, grant_size},
     },
-    jasminewall_platform::{Category, RowWrite, TableRow, TransactOutcome},
+    jasminewall_ports::{Category, RowWrite, TableRow, TransactOutcome},
 };
 
 use super::{GRANT_COVER, ShardSlot, SpendLedger};
--- a/crates/router/src/spend/reclaim.rs
+++ b/crates/router/src/spend/reclaim.rs
@@ -19,7 +19,7 @@
         segment::{ChargeLine, SegmentRecord, segment_prefix, settled_key},
         settle::{ChargeEvidence, DeathEvidence, evidence_prefix, settle_row},
     },
-    jasminewall_platform::{RowWrite, TransactOutcome},
+    jasminewall_ports::{RowWrite, TransactOutcome},
     serde::Deserialize,
     smol_str::SmolStr,
 };
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -12,7 +12,7 @@
 use {
     anyhow::Result,
     jasminewall_core::{BootId, HolderId, RequestId},
-    jasminewall_platform::PlatformPorts,
+    jasminewall_ports::PlatformPorts,
     rand::Rng,
     tokio::{
         net::TcpListener,
--- a/crates/router/src/telemetry.rs
+++ b/crates/router/src/telemetry.rs
@@ -11,6 +11,7 @@
     cadence::{
         Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink,
     },
+    jasminewall_setting::LogFormat,
     tracing_subscriber::EnvFilter,
 };
 
@@ -28,15 +29,6 @@
 /// Metrics that wait to be sent; more are dropped, so that a slow socket delays no request.
 const QUEUE_LIMIT: usize = 4_096;
 
-/// Form of the log lines.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LogFormat {
-    /// One line of text an event.
-    Text,
-    /// One JSON object an event.
-    Json,
-}
-
 /// Starts logging to standard error; `RUST_LOG` takes precedence over the filter.
 ///
 /// # Errors
--- a/crates/testkit/examples/caller_load.rs
+++ b/crates/testkit/examples/caller_load.rs
@@ -20,7 +20,7 @@
     hdrhistogram::Histogram,
     hyper::Method,
     jasminewall_core::{ConfigRecord, record::EndpointKind},
-    jasminewall_platform::{MemoryPlatform, TablePort, VmState},
+    jasminewall_ports::{MemoryPlatform, TablePort, VmState},
     jasminewall_router::{RouterHandle, RouterSetting},
     jasminewall_testkit::caller::{CallerClient, completion, start_fleet},
     serde_json::{Value, json},
--- a/crates/testkit/examples/fleet_cost.rs
+++ b/crates/testkit/examples/fleet_cost.rs
@@ -23,7 +23,7 @@
         record::{BudgetRecord, EndpointKind, EndpointRecord},
         revision::{ConfigChange, HeadRow},
     },
-    jasminewall_platform::{PortRequest, PortResponse, TableRow, VmEntry, VmState},
+    jasminewall_ports::{PortRequest, PortResponse, TableRow, VmEntry, VmState},
     jasminewall_router::FleetIntervals,
     jasminewall_wire::{
         CloseReply, PeerService, PeerServiceClient, PeerServiceRequest, PeerServiceResponse,
--- a/crates/testkit/src/caller.rs
+++ b/crates/testkit/src/caller.rs
@@ -15,7 +15,7 @@
         Tokens,
         budget::{GrantRow, PoolRow},
     },
-    jasminewall_platform::{MemoryPlatform, TablePort},
+    jasminewall_ports::{MemoryPlatform, TablePort},
     jasminewall_router::{EmbedFleet, RouterState, setting::CallerLimits},
     serde_json::{Value, json},
     tokio::{
--- a/crates/testkit/src/invariant.rs
+++ b/crates/testkit/src/invariant.rs
@@ -13,7 +13,7 @@
         revision::{HEAD_KEY, HeadRow},
         segment::{ChargeLine, SETTLED_PREFIX, SegmentRecord},
     },
-    jasminewall_platform::{PlatformPorts, TableRow},
+    jasminewall_ports::{PlatformPorts, TableRow},
     serde_json::Value,
 };
 
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -10,7 +10,7 @@
     goldenscript::{ArgumentConsumer, Command, Context, Runner},
     jasminewall_core::{BudgetId, RequestId, Revision, VmId},
     jasminewall_ctl::{ApplyOption, ControlClient, DeclaredText, TopUpOrder},
-    jasminewall_platform::{FaultPlan, MemoryPlatform},
+    jasminewall_ports::{FaultPlan, MemoryPlatform},
     tokio::{runtime::Runtime, time::Instant},
 };
 
--- a/crates/testkit/src/scenario/fleet.rs
+++ b/crates/testkit/src/scenario/fleet.rs
@@ -11,7 +11,7 @@
     goldenscript::ArgumentConsumer,
     jasminewall_core::{Revision, VmId},
     jasminewall_ctl::hash_key,
-    jasminewall_platform::{MemoryPlatform, PlatformPorts, VmState},
+    jasminewall_ports::{MemoryPlatform, PlatformPorts, VmState},
     jasminewall_router::{RouterHandle, RouterSetting},
     jasminewall_standin::ModelEngine,
     tokio::{
--- a/crates/testkit/tests/caller_completions.rs
+++ b/crates/testkit/tests/caller_completions.rs
@@ -13,7 +13,7 @@
     http_body_util::BodyExt,
     hyper::{Method, Response, body::Incoming},
     jasminewall_core::{ConfigRecord, record},
-    jasminewall_platform::{MemoryPlatform, ObjectPort, TablePort},
+    jasminewall_ports::{MemoryPlatform, ObjectPort, TablePort},
     jasminewall_router::{EmbedFleet, RouterHandle, RouterSetting},
     jasminewall_testkit::caller::{
         CallerClient, CallerReply, RIVAL_KEY, charged_total, completion, start_fleet, wait_ready,
--- a/crates/testkit/tests/caller_services.rs
+++ b/crates/testkit/tests/caller_services.rs
@@ -10,7 +10,7 @@
 
 use {
     hyper::Method,
-    jasminewall_platform::FaultPlan,
+    jasminewall_ports::FaultPlan,
     jasminewall_router::{EmbedFleet, RouterHandle, RouterSetting},
     jasminewall_testkit::caller::{
         CallerClient, CallerReply, RIVAL_KEY, charged_total, start_fleet, wait_ready,
--- a/crates/testkit/tests/fleet_routers.rs
+++ b/crates/testkit/tests/fleet_routers.rs
@@ -25,7 +25,7 @@
         revision::{ConfigChange, HEAD_KEY, HeadRow, SNAPSHOT_PREFIX, log_key},
         shard_of,
     },
-    jasminewall_platform::{FaultPlan, MemoryPlatform, RowWrite, TransactOutcome, VmState},
+    jasminewall_ports::{FaultPlan, MemoryPlatform, RowWrite, TransactOutcome, VmState},
     jasminewall_router::{RouterHandle, RouterSetting, StopPlan},
     jasminewall_standin::{ModelEngine, OrderBook},
     jasminewall_testkit::loopback::unique_loopback,
--- a/crates/testkit/tests/invariants.rs
+++ b/crates/testkit/tests/invariants.rs
@@ -8,7 +8,7 @@
         budget::grant_key,
         segment::{ChargeLine, SegmentRecord},
     },
-    jasminewall_platform::TableRow,
+    jasminewall_ports::TableRow,
     jasminewall_testkit::invariant::{EndpointRun, FleetEvidence, ToldCharge},
     serde_json::{Value, json},
 };
--- a/crates/testkit/tests/routing_endpoints.rs
+++ b/crates/testkit/tests/routing_endpoints.rs
@@ -26,7 +26,7 @@
         ConfigDelta, record,
         revision::{ConfigChange, HEAD_KEY, HeadRow, log_key},
     },
-    jasminewall_platform::RowWrite,
+    jasminewall_ports::RowWrite,
     jasminewall_router::EmbedFleet,
     jasminewall_standin::ModelEngine,
     jasminewall_testkit::loopback::unique_loopback,
--- a/crates/testkit/tests/spend_failures.rs
+++ b/crates/testkit/tests/spend_failures.rs
@@ -17,7 +17,7 @@
         revision::{ConfigChange, HEAD_KEY, HeadRow, log_key},
         shard_of,
     },
-    jasminewall_platform::{FaultPlan, RowWrite, TablePort},
+    jasminewall_ports::{FaultPlan, RowWrite, TablePort},
     jasminewall_router::EmbedFleet,
     jasminewall_testkit::loopback::unique_loopback,
     serde_json::{Value, json},
