Read the grace and the retry window in seconds, and ask peers sooner

Change: both keys are read in seconds; the store is left alone for 500 ms after a failure; up to eight peers are asked in turn for what is missing.

--- a/crates/forward/src/book.rs
+++ b/crates/forward/src/book.rs
@@ -28,6 +28,9 @@
 const FIRST_SHARE: Tokens = 5;
 /// Tries of a change against conflicts with other routers.
 const CONFLICT_TRIES: u32 = 8;
+/// Time in which the store is not asked again after it failed, so that requests turn to peers at
+/// once. A failure is noticed after up to 1.5 s.
+const STORE_PAUSE: Duration = Duration::from_millis(500);
 /// Longest pause between two tries, in ms; about four transactions of a partition.
 const CONFLICT_PAUSE_MS: u64 = 20;
 /// Time after which idle or excess tokens are looked for again.
@@ -61,6 +64,7 @@
     peers: Arc<dyn TokenPeers>,
     ledger: Mutex<GrantLedger>,
     tabs: Mutex<HashMap<CustomerId, Arc<SpendTab>>>,
+    store_paused: Mutex<Option<Instant>>,
     holders: AtomicU64,
     next_hold: AtomicU64,
 }
@@ -116,6 +120,7 @@
             rows,
             peers,
             tabs: Mutex::default(),
+            store_paused: Mutex::default(),
             holders: AtomicU64::new(1),
             next_hold: AtomicU64::new(0),
         })
@@ -162,7 +167,10 @@
         let shortage = match refilled {
             Ok(Ok(())) => BudgetShortage::HeldElsewhere,
             Ok(Err(shortage)) => shortage,
-            Err(_) => BudgetShortage::StoreAway,
+            Err(_) => {
+                self.pause_store();
+                BudgetShortage::StoreAway
+            }
         };
         if let Some(hold) = self.try_hold(customer, amount) {
             return Ok(hold);
@@ -176,10 +184,9 @@
         self.try_hold(customer, amount).ok_or(shortage)
     }
 
-    /// Takes tokens out of the ledger for a peer; at most what this router does not need itself.
+    /// Takes tokens out of the ledger for a peer that has a request to serve.
     pub fn give(&self, customer: &CustomerId, wanted: Tokens) -> Tokens {
-        let keep = self.spendable(customer) / 2;
-        self.ledger().begin_return(customer, wanted.min(keep))
+        self.ledger().begin_return(customer, wanted)
     }
 
     /// Hands back all tokens that no request holds, as far as the store answers before `deadline`.
@@ -265,6 +272,9 @@
 
     async fn refill(&self, tab: &SpendTab, amount: Tokens) -> Result<(), BudgetShortage> {
         let mut account = tab.account.lock().await;
+        if self.is_store_paused() {
+            return Err(BudgetShortage::StoreAway);
+        }
         if amount > 0 && self.spendable(&tab.customer) >= amount {
             return Ok(());
         }
@@ -327,6 +337,7 @@
                 }
                 Err(error) => {
                     tracing::warn!(customer = %tab.customer, %error, "an account could not be changed");
+                    self.pause_store();
                     if error.category() == Category::Unavailable {
                         account.trust();
                     }
@@ -346,6 +357,7 @@
         let page = self.rows.read(SPEND_TABLE, &tab.customer).await;
         let page = page.map_err(|error| {
             tracing::warn!(customer = %tab.customer, %error, "the accounts could not be read");
+            self.pause_store();
             BudgetShortage::StoreAway
         })?;
         let granted = account.adopt_all(&page.rows);
@@ -353,6 +365,21 @@
         Ok(())
     }
 
+    fn pause_store(&self) {
+        let mut paused = self.paused();
+        *paused = Some(Instant::now() + STORE_PAUSE);
+    }
+
+    fn is_store_paused(&self) -> bool {
+        self.paused().is_some_and(|until| until > Instant::now())
+    }
+
+    fn paused(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.store_paused
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn need(&self, tab: &SpendTab, account: &TotalAccount, request: Tokens) -> GrantNeed {
         let prepaid = tab.demand().prepaid;
         GrantNeed {
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -11,7 +11,7 @@
 
 use {
     bytes::Bytes,
-    futures_util::{StreamExt, future::join_all},
+    futures_util::StreamExt,
     jasminewall_core::{BootId, CustomerId, Tokens, VmId},
     jasminewall_ports::{Category, RowKey, RowPort, RowReply, RowTransaction, RowUpdate},
     rand::seq::IndexedRandom,
@@ -39,8 +39,12 @@
 const NEWS_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest wait for a peer; links within a region take a few milliseconds.
 const PEER_TIMEOUT: Duration = Duration::from_millis(200);
-/// Peers asked at once, so that the cost of a question does not grow with the fleet.
-const ASKED_PEERS: usize = 3;
+/// Peers asked for newer state, so that the cost of a question does not grow with the fleet.
+const NEWS_PEERS: usize = 3;
+/// Peers asked for tokens, one after the other until there are enough.
+const TOKEN_PEERS: usize = 8;
+/// Time in which a peer that did not answer is not asked again.
+const SILENT_PAUSE: Duration = Duration::from_secs(2);
 
 /// Registration of one router.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -110,6 +114,15 @@
 struct PeerLink {
     record: PeerRecord,
     client: Option<RouterPeerClient>,
+    /// End of the time in which a peer that did not answer is left out.
+    silent_until: Option<Instant>,
+}
+
+/// Peer that may be asked, with its open connection if there is one.
+struct PeerTarget {
+    vm: VmId,
+    address: SocketAddr,
+    client: Option<RouterPeerClient>,
 }
 
 impl PeerGroup {
@@ -187,6 +200,7 @@
                     PeerLink {
                         record,
                         client: None,
+                        silent_until: None,
                     }
                 }
             };
@@ -196,48 +210,55 @@
         Ok(peers.len() + 1)
     }
 
-    /// Some routers with open connections, drawn at random.
-    async fn draw(&self) -> Vec<(VmId, RouterPeerClient)> {
-        let drawn: Vec<(VmId, SocketAddr, Option<RouterPeerClient>)> = {
-            let peers = self.peers();
-            let all: Vec<(&VmId, &PeerLink)> = peers.iter().collect();
-            let some = all.choose_multiple(&mut rand::rng(), ASKED_PEERS);
-            let some =
-                some.map(|(vm, link)| ((*vm).clone(), link.record.address, link.client.clone()));
-            some.collect()
-        };
-        let opened = drawn.into_iter().map(async |(vm, address, client)| {
-            if let Some(client) = client {
-                return Some((vm, client));
-            }
-            let transport = tarpc::serde_transport::tcp::connect(address, Bincode::default);
-            let transport = match timeout(PEER_TIMEOUT, transport).await {
-                Ok(Ok(transport)) => transport,
-                Ok(Err(error)) => {
-                    tracing::debug!(%vm, %error, "a router could not be reached");
-                    return None;
-                }
-                Err(_) => return None,
-            };
-            let client = RouterPeerClient::new(client::Config::default(), transport).spawn();
-            if let Some(link) = self.peers().get_mut(&vm) {
-                link.client = Some(client.clone());
-            }
-            Some((vm, client))
+    /// Some routers, drawn at random from those that answer.
+    fn draw(&self, most: usize) -> Vec<PeerTarget> {
+        let now = Instant::now();
+        let peers = self.peers();
+        let open = peers
+            .iter()
+            .filter(|(_, link)| link.silent_until.is_none_or(|until| until <= now));
+        let open: Vec<(&VmId, &PeerLink)> = open.collect();
+        let drawn = open.choose_multiple(&mut rand::rng(), most);
+        let targets = drawn.map(|(vm, link)| PeerTarget {
+            vm: (*vm).clone(),
+            address: link.record.address,
+            client: link.client.clone(),
         });
-        join_all(opened).await.into_iter().flatten().collect()
+        targets.collect()
     }
 
-    /// Closes the connection to a router that did not answer; the next question opens a new one.
-    fn drop_link(&self, vm: &VmId) {
+    /// Connection to a peer; opened if there is none.
+    async fn connect(&self, target: &PeerTarget) -> Option<RouterPeerClient> {
+        if let Some(client) = &target.client {
+            return Some(client.clone());
+        }
+        let transport = tarpc::serde_transport::tcp::connect(target.address, Bincode::default);
+        let Ok(Ok(transport)) = timeout(PEER_TIMEOUT, transport).await else {
+            self.note_silence(&target.vm);
+            return None;
+        };
+        let client = RouterPeerClient::new(client::Config::default(), transport).spawn();
+        if let Some(link) = self.peers().get_mut(&target.vm) {
+            link.client = Some(client.clone());
+        }
+        Some(client)
+    }
+
+    /// Closes the connection to a router that did not answer, and leaves it out for a while.
+    fn note_silence(&self, vm: &VmId) {
         if let Some(link) = self.peers().get_mut(vm) {
+            tracing::info!(%vm, "a router does not answer");
             link.client = None;
+            link.silent_until = Some(Instant::now() + SILENT_PAUSE);
         }
     }
 
     /// Asks some routers for state that is newer.
     pub(crate) async fn ask_news(&self, view: &FleetView) {
-        for (vm, client) in self.draw().await {
+        for target in self.draw(NEWS_PEERS) {
+            let Some(client) = self.connect(&target).await else {
+                continue;
+            };
             let versions = (view.config_version(), view.endpoint_version());
             let asked = client.news(deadline(), versions.0, versions.1);
             match timeout(PEER_TIMEOUT, asked).await {
@@ -249,7 +270,7 @@
                         view.adopt_endpoints(version, records, Instant::now());
                     }
                 }
-                _ => self.drop_link(&vm),
+                _ => self.note_silence(&target.vm),
             }
         }
     }
@@ -266,18 +287,22 @@
         wanted: Tokens,
     ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>> {
         Box::pin(async move {
-            let peers = self.draw().await;
-            let asked = peers.into_iter().map(async |(vm, client)| {
-                let given = client.give(deadline(), customer.clone(), wanted);
+            let mut total = 0;
+            for target in self.draw(TOKEN_PEERS) {
+                if total >= wanted {
+                    break;
+                }
+                let Some(client) = self.connect(&target).await else {
+                    continue;
+                };
+                let given = client.give(deadline(), customer.clone(), wanted - total);
                 // Tokens whose answer is lost stay out of use, which is safe.
-                if let Ok(Ok(given)) = timeout(PEER_TIMEOUT, given).await {
-                    given
-                } else {
-                    self.drop_link(&vm);
-                    0
+                match timeout(PEER_TIMEOUT, given).await {
+                    Ok(Ok(given)) => total += given,
+                    _ => self.note_silence(&target.vm),
                 }
-            });
-            join_all(asked).await.into_iter().sum()
+            }
+            total
         })
     }
 }
--- a/crates/forward/src/setting.rs
+++ b/crates/forward/src/setting.rs
@@ -85,9 +85,9 @@
             peer_listen: reader.parse("router", "peer_listen", "ip:port", None),
             store: reader.parse("store", "address", "ip:port", None),
             bounds: FleetBounds {
-                grace: reader.millis("bounds", "grace_s", bounds.grace),
+                grace: read_seconds(&mut reader, "grace_s", bounds.grace),
                 retry_ratio: read_share(&mut reader, "retry_ratio", bounds.retry_ratio),
-                retry_window: reader.millis("bounds", "retry_window_s", bounds.retry_window),
+                retry_window: read_seconds(&mut reader, "retry_window_s", bounds.retry_window),
                 retry_slack: read_share(&mut reader, "retry_slack", bounds.retry_slack),
             },
             log: reader.log(),
--- a/crates/jasminewall/src/main.rs
+++ b/crates/jasminewall/src/main.rs
@@ -112,7 +112,7 @@
 }
 
 async fn serve(path: PathBuf, setting: ForwardSetting) -> Result<()> {
-    tracing::info!(vm = %setting.vm, failure_domain = %setting.failure_domain, store = %setting.store, version = env!("CARGO_PKG_VERSION"), "start");
+    tracing::info!(vm = %setting.vm, bounds = ?setting.bounds, failure_domain = %setting.failure_domain, store = %setting.store, version = env!("CARGO_PKG_VERSION"), "start");
     let store = Arc::new(StoreClient::new(setting.store));
     let ports = ForwardPorts {
         rows: store.clone(),
