Give every router a standing grant of each customer before demand

Change: each router draws its part of 3/4 of the remaining tokens from the first configuration on, and hands back what exceeds it; the forecast by demand is gone.

--- a/crates/forward/src/book.rs
+++ b/crates/forward/src/book.rs
@@ -10,10 +10,7 @@
 };
 
 use {
-    jasminewall_core::{
-        CustomerId, GrantLedger, HolderId, RequestId, Tokens,
-        sizing::{GrantNeed, SpendForecast, grant_size},
-    },
+    jasminewall_core::{CustomerId, GrantLedger, HolderId, RequestId, Tokens},
     jasminewall_ports::{Category, RowPort, RowReply},
     rand::Rng,
     tokio::{sync::Mutex as AsyncMutex, time::timeout_at},
@@ -21,11 +18,16 @@
 
 use crate::total::{SPEND_TABLE, TotalAccount};
 
-/// Time of own demand that a grant covers, so that routers serve on while the store is away. The
-/// plan counts outages of the store in tens of seconds.
-const GRANT_COVER: Duration = Duration::from_secs(30);
-/// Part of a total that all routers together hold before any demand is known, as a divisor.
-const FIRST_SHARE: Tokens = 5;
+/// Part of the remaining tokens that all routers together hold at most. It covers outages of the
+/// store of a quarter of the time for which a total lasts, at twice the usual demand; the rest is
+/// what a crash of every router leaves.
+const STANDING_SHARE: f64 = 0.75;
+/// Customers up to which every router draws a grant before it sees a request, so that an outage
+/// finds none without tokens.
+const ADVANCE_CUSTOMERS: usize = 64;
+/// Longest wait before the first grants are drawn, in ms, so that routers that start together do
+/// not conflict.
+const ADVANCE_SPREAD_MS: u64 = 2_000;
 /// Tries of a change against conflicts with other routers.
 const CONFLICT_TRIES: u32 = 8;
 /// Time in which the store is not asked again after it failed, so that requests turn to peers at
@@ -76,9 +78,10 @@
     demand: Mutex<TabDemand>,
 }
 
+#[derive(Default)]
 struct TabDemand {
-    forecast: SpendForecast,
     prepaid: Tokens,
+    refill_below: Tokens,
     refilling: bool,
     spent_until: Option<Instant>,
 }
@@ -151,13 +154,9 @@
     ) -> Result<BudgetHold, BudgetShortage> {
         let tab = self.tab(customer);
         let now = Instant::now();
-        {
-            let mut demand = tab.demand();
-            demand.prepaid = demand.prepaid.max(prepaid);
-            demand.forecast.add(now, amount);
-        }
+        tab.raise(prepaid);
         if let Some(hold) = self.try_hold(customer, amount) {
-            self.refill_ahead(&tab);
+            self.refill_soon(&tab);
             return Ok(hold);
         }
         if tab.demand().spent_until.is_some_and(|until| until > now) {
@@ -200,33 +199,48 @@
         }
     }
 
-    /// Hands back what exceeds the forecast, again and again.
-    pub async fn rebalance(self: Arc<Self>) {
+    /// Draws grants ahead of demand and hands back what exceeds them, again and again.
+    pub async fn rebalance(self: Arc<Self>, totals: impl Fn() -> Vec<(CustomerId, Tokens)>) {
+        let spread = rand::rng().random_range(0..ADVANCE_SPREAD_MS);
+        tokio::time::sleep(Duration::from_millis(spread)).await;
         let mut tick = tokio::time::interval(REBALANCE_INTERVAL);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tick.tick().await;
-            let tabs: Vec<Arc<SpendTab>> = self.tabs().values().cloned().collect();
-            for tab in tabs {
-                let spare = self.excess(&tab).await;
-                if spare == 0 {
-                    continue;
+            let totals = totals();
+            let advance = totals.len() <= ADVANCE_CUSTOMERS;
+            for (customer, prepaid) in totals {
+                if advance || self.tabs().contains_key(&customer) {
+                    let tab = self.tab(&customer);
+                    tab.raise(prepaid);
+                    self.balance(&tab).await;
                 }
-                let returned = self.hand_back(&tab, spare).await;
-                let done = returned.is_ok();
-                tracing::info!(customer = %tab.customer, tokens = spare, done, "returned excess tokens");
             }
         }
     }
 
-    async fn excess(&self, tab: &SpendTab) -> Tokens {
-        let account = tab.account.lock().await;
-        if !account.is_known() {
-            return 0;
+    async fn balance(self: &Arc<Self>, tab: &Arc<SpendTab>) {
+        let excess = {
+            let account = tab.account.lock().await;
+            if account.is_known() {
+                let target = self.target(tab, &account);
+                let spendable = self.spendable(&tab.customer);
+                // The margin avoids moves back and forth.
+                if spendable > target + target / 2 {
+                    spendable - target
+                } else {
+                    0
+                }
+            } else {
+                0
+            }
+        };
+        if excess == 0 {
+            self.refill_ahead(tab).await;
+            return;
         }
-        let need = self.need(tab, &account, 0);
-        let idle = tab.demand().forecast.idle(Instant::now());
-        need.excess(idle)
+        let done = self.hand_back(tab, excess).await.is_ok();
+        tracing::info!(customer = %tab.customer, tokens = excess, done, "returned excess tokens");
     }
 
     async fn hand_back(&self, tab: &SpendTab, spare: Tokens) -> Result<(), BudgetShortage> {
@@ -247,25 +261,28 @@
         })
     }
 
-    /// Starts a refill in the background once half of the grant is used.
-    fn refill_ahead(self: &Arc<Self>, tab: &Arc<SpendTab>) {
+    /// Refills a grant once half of it is used.
+    async fn refill_ahead(&self, tab: &SpendTab) {
+        if self.is_store_paused() {
+            return;
+        }
+        if let Err(shortage) = self.refill(tab, 0).await {
+            tracing::info!(customer = %tab.customer, ?shortage, "a refill ahead of need failed");
+        }
+    }
+
+    /// Starts a refill in the background unless one is running.
+    fn refill_soon(self: &Arc<Self>, tab: &Arc<SpendTab>) {
         let spendable = self.spendable(&tab.customer);
-        let forecast = self.forecast(tab);
         let mut demand = tab.demand();
-        let scarce = demand
-            .spent_until
-            .is_some_and(|until| until > Instant::now());
-        if demand.refilling || scarce || spendable >= forecast / 2 {
+        if demand.refilling || spendable >= demand.refill_below {
             return;
         }
         demand.refilling = true;
         drop(demand);
         let (book, tab) = (self.clone(), tab.clone());
         tokio::spawn(async move {
-            let refilled = book.refill(&tab, 0).await;
-            if let Err(shortage) = refilled {
-                tracing::info!(customer = %tab.customer, ?shortage, "a refill ahead of need failed");
-            }
+            book.refill_ahead(&tab).await;
             tab.demand().refilling = false;
         });
     }
@@ -278,10 +295,8 @@
         if amount > 0 && self.spendable(&tab.customer) >= amount {
             return Ok(());
         }
-        self.apply(tab, &mut account, |account| {
-            self.need(tab, account, amount).take()
-        })
-        .await?;
+        self.apply(tab, &mut account, |account| self.take(tab, account, amount))
+            .await?;
         if amount == 0 || self.spendable(&tab.customer) >= amount {
             return Ok(());
         }
@@ -380,22 +395,28 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn need(&self, tab: &SpendTab, account: &TotalAccount, request: Tokens) -> GrantNeed {
+    /// Tokens that this router should hold: its part of the remaining ones.
+    fn target(&self, tab: &SpendTab, account: &TotalAccount) -> Tokens {
         let prepaid = tab.demand().prepaid;
-        GrantNeed {
-            spendable: self.spendable(&tab.customer),
-            request,
-            forecast: self.forecast(tab),
-            free: account.free(prepaid) + account.owes(),
-            holders: self.holders.load(Ordering::Relaxed),
-        }
+        let remaining = account.free(prepaid) + self.spendable(&tab.customer);
+        let holders = self.holders.load(Ordering::Relaxed);
+        let target = (remaining as f64 * STANDING_SHARE) as Tokens / holders;
+        tab.demand().refill_below = target / 2;
+        target
     }
 
-    fn forecast(&self, tab: &SpendTab) -> Tokens {
-        let demand = tab.demand();
-        let expected = demand.forecast.expect(Instant::now(), GRANT_COVER);
-        let first = demand.prepaid / (FIRST_SHARE * self.holders.load(Ordering::Relaxed));
-        grant_size(expected).max(first)
+    /// Tokens to draw: up to the target once half of it is used, and always what a request needs.
+    fn take(&self, tab: &SpendTab, account: &TotalAccount, request: Tokens) -> Tokens {
+        let target = self.target(tab, account);
+        let spendable = self.spendable(&tab.customer);
+        let free = account.free(tab.demand().prepaid) + account.owes();
+        let missing = request.saturating_sub(spendable);
+        let ahead = if missing > 0 || spendable < target / 2 {
+            target.saturating_sub(spendable)
+        } else {
+            0
+        };
+        missing.max(ahead).min(free)
     }
 
     fn tab(&self, customer: &CustomerId) -> Arc<SpendTab> {
@@ -407,12 +428,7 @@
         let tab = Arc::new(SpendTab {
             customer: customer.clone(),
             account: AsyncMutex::new(TotalAccount::new(customer.clone(), vm, boot)),
-            demand: Mutex::new(TabDemand {
-                forecast: SpendForecast::new(Instant::now()),
-                prepaid: 0,
-                refilling: false,
-                spent_until: None,
-            }),
+            demand: Mutex::default(),
         });
         tabs.insert(customer.clone(), tab.clone());
         tab
@@ -428,6 +444,12 @@
 }
 
 impl SpendTab {
+    /// Takes in a total, which only rises.
+    fn raise(&self, prepaid: Tokens) {
+        let mut demand = self.demand();
+        demand.prepaid = demand.prepaid.max(prepaid);
+    }
+
     fn demand(&self) -> MutexGuard<'_, TabDemand> {
         self.demand.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -82,12 +82,19 @@
                 book.set_holders(routers);
             }
         };
+        let totals = {
+            let view = view.clone();
+            move || {
+                view.config()
+                    .map_or_else(Vec::new, |config| config.totals())
+            }
+        };
         let tasks = vec![
             spawn(follow::follow_config(view.clone(), ports.records.clone())).abort_handle(),
             spawn(follow::follow_endpoints(view.clone(), ports.records)).abort_handle(),
             spawn(peer::follow_peers(peers.clone(), notify)).abort_handle(),
             spawn(peer::follow_news(Arc::downgrade(&peers), view.clone())).abort_handle(),
-            spawn(book.clone().rebalance()).abort_handle(),
+            spawn(book.clone().rebalance(totals)).abort_handle(),
             spawn(forget_endpoints(engine.clone())).abort_handle(),
         ];
         Ok(Arc::new(Self {
--- a/crates/forward/src/record.rs
+++ b/crates/forward/src/record.rs
@@ -194,6 +194,13 @@
         self.customers.get(*self.keys.get(key)?)
     }
 
+    /// Customers with a prepaid total.
+    pub fn totals(&self) -> Vec<(CustomerId, Tokens)> {
+        let customers = self.customers.iter();
+        let totals = customers.filter_map(|one| Some((one.name.clone(), one.prepaid?)));
+        totals.collect()
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
