Let a restarted router take over what its predecessor left

Change: accounts name the tokens that are open before the next write, a heartbeat row shows whether a run ended in contact with the store, and its successor takes over all but the open tokens.

--- a/crates/forward/src/book.rs
+++ b/crates/forward/src/book.rs
@@ -10,18 +10,24 @@
 };
 
 use {
-    jasminewall_core::{CustomerId, GrantLedger, HolderId, RequestId, Tokens},
+    jasminewall_core::{BootId, CustomerId, GrantLedger, HolderId, RequestId, Tokens},
     jasminewall_ports::{Category, RowPort, RowReply},
     rand::Rng,
     tokio::{sync::Mutex as AsyncMutex, time::timeout_at},
 };
 
-use crate::total::{SPEND_TABLE, TotalAccount};
+use crate::{
+    contact::{ContactMode, StoreLink},
+    total::{SPEND_TABLE, TotalAccount},
+};
 
 /// Part of the remaining tokens that all routers together hold at most. It covers outages of the
 /// store of a quarter of the time for which a total lasts, at twice the usual demand; the rest is
 /// what a crash of every router leaves.
 const STANDING_SHARE: f64 = 0.75;
+/// Part of a grant that is open to consumption before the next write, as a divisor. It lasts for
+/// the time until a run without contact may consume whole grants, and is lost by a crash.
+const OPEN_SHARE: Tokens = 3;
 /// Customers up to which every router draws a grant before it sees a request, so that an outage
 /// finds none without tokens.
 const ADVANCE_CUSTOMERS: usize = 64;
@@ -67,10 +73,21 @@
     ledger: Mutex<GrantLedger>,
     tabs: Mutex<HashMap<CustomerId, Arc<SpendTab>>>,
     store_paused: Mutex<Option<Instant>>,
+    link: Mutex<StoreLink>,
+    predecessor: Mutex<Option<PredecessorEnd>>,
     holders: AtomicU64,
     next_hold: AtomicU64,
 }
 
+/// How the run before this one on the VM ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PredecessorEnd {
+    /// It surely consumed no more than its accounts left open.
+    Attached(BootId),
+    /// It may have consumed whole grants, or there was none.
+    Unknown,
+}
+
 /// State of one customer. Lock order: `account`, then the ledger, then `demand`.
 struct SpendTab {
     customer: CustomerId,
@@ -82,6 +99,12 @@
 struct TabDemand {
     prepaid: Tokens,
     refill_below: Tokens,
+    /// Consumption up to which the stored account allows; see [`StoreLink`].
+    limit: Tokens,
+    /// Limit of a change that may have landed.
+    pending_limit: Option<Tokens>,
+    /// Tokens given to peers.
+    given: Tokens,
     refilling: bool,
     spent_until: Option<Instant>,
 }
@@ -124,6 +147,8 @@
             peers,
             tabs: Mutex::default(),
             store_paused: Mutex::default(),
+            link: Mutex::default(),
+            predecessor: Mutex::default(),
             holders: AtomicU64::new(1),
             next_hold: AtomicU64::new(0),
         })
@@ -155,7 +180,7 @@
         let tab = self.tab(customer);
         let now = Instant::now();
         tab.raise(prepaid);
-        if let Some(hold) = self.try_hold(customer, amount) {
+        if let Some(hold) = self.try_hold(&tab, amount) {
             self.refill_soon(&tab);
             return Ok(hold);
         }
@@ -171,7 +196,7 @@
                 BudgetShortage::StoreAway
             }
         };
-        if let Some(hold) = self.try_hold(customer, amount) {
+        if let Some(hold) = self.try_hold(&tab, amount) {
             return Ok(hold);
         }
         if shortage != BudgetShortage::Spent {
@@ -180,12 +205,59 @@
             self.ledger().credit(customer, given);
             tracing::info!(%customer, missing, given, "asked peers for tokens");
         }
-        self.try_hold(customer, amount).ok_or(shortage)
+        self.try_hold(&tab, amount).ok_or(shortage)
     }
 
     /// Takes tokens out of the ledger for a peer that has a request to serve.
     pub fn give(&self, customer: &CustomerId, wanted: Tokens) -> Tokens {
-        self.ledger().begin_return(customer, wanted)
+        let tab = self.tab(customer);
+        let room = self.room(&tab);
+        let given = self.ledger().begin_return(customer, wanted.min(room));
+        tab.demand().given += given;
+        given
+    }
+
+    /// Contact with the store.
+    pub fn link(&self) -> MutexGuard<'_, StoreLink> {
+        self.link.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Says how the run before this one ended. Accounts are not changed before that is known.
+    pub fn set_predecessor(&self, end: PredecessorEnd) {
+        *self.predecessor() = Some(end);
+    }
+
+    /// Writes all accounts that consumed more than they left open; `false` when one could not be
+    /// written.
+    pub async fn write_overdrawn(&self) -> bool {
+        let tabs: Vec<Arc<SpendTab>> = self.tabs().values().cloned().collect();
+        for tab in tabs {
+            if self.consumed(&tab) <= tab.demand().limit() {
+                continue;
+            }
+            let mut account = tab.account.lock().await;
+            if self.apply(&tab, &mut account, 0, |_| 0).await.is_err() {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Tokens consumed, held and given so far.
+    fn consumed(&self, tab: &SpendTab) -> Tokens {
+        let given = tab.demand().given;
+        let ledger = self.ledger();
+        ledger.charged(&tab.customer) + ledger.held(&tab.customer) + given
+    }
+
+    /// Tokens that may be consumed before the next write.
+    fn room(&self, tab: &SpendTab) -> Tokens {
+        let mode = self.link().mode(Instant::now());
+        if mode == ContactMode::Detached {
+            return Tokens::MAX;
+        }
+        let limit = tab.demand().limit();
+        limit.saturating_sub(self.consumed(tab))
     }
 
     /// Hands back all tokens that no request holds, as far as the store answers before `deadline`.
@@ -236,7 +308,7 @@
             }
         };
         if excess == 0 {
-            self.refill_ahead(tab).await;
+            self.refill_soon(tab);
             return;
         }
         let done = self.hand_back(tab, excess).await.is_ok();
@@ -247,13 +319,16 @@
         let mut account = tab.account.lock().await;
         let taken = self.ledger().begin_return(&tab.customer, spare);
         account.set_aside(taken);
-        self.apply(tab, &mut account, |_| 0).await
+        self.apply(tab, &mut account, 0, |_| 0).await
     }
 
-    fn try_hold(self: &Arc<Self>, customer: &CustomerId, amount: Tokens) -> Option<BudgetHold> {
+    fn try_hold(self: &Arc<Self>, tab: &SpendTab, amount: Tokens) -> Option<BudgetHold> {
+        if self.room(tab) < amount {
+            return None;
+        }
         let number = self.next_hold.fetch_add(1, Ordering::Relaxed);
         let request = RequestId::from(number.to_string());
-        self.ledger().hold(customer, &request, amount).ok()?;
+        self.ledger().hold(&tab.customer, &request, amount).ok()?;
         Some(BudgetHold {
             book: self.clone(),
             request,
@@ -274,8 +349,10 @@
     /// Starts a refill in the background unless one is running.
     fn refill_soon(self: &Arc<Self>, tab: &Arc<SpendTab>) {
         let spendable = self.spendable(&tab.customer);
+        let room = self.room(tab);
         let mut demand = tab.demand();
-        if demand.refilling || spendable >= demand.refill_below {
+        let low = spendable < demand.refill_below || room < spendable / (2 * OPEN_SHARE);
+        if demand.refilling || !low {
             return;
         }
         demand.refilling = true;
@@ -295,9 +372,11 @@
         if amount > 0 && self.spendable(&tab.customer) >= amount {
             return Ok(());
         }
-        self.apply(tab, &mut account, |account| self.take(tab, account, amount))
-            .await?;
-        if amount == 0 || self.spendable(&tab.customer) >= amount {
+        self.apply(tab, &mut account, amount, |account| {
+            self.take(tab, account, amount)
+        })
+        .await?;
+        if amount == 0 || self.covers(tab, amount) {
             return Ok(());
         }
         // Only a fresh look at all accounts can prove that the total is spent.
@@ -323,28 +402,41 @@
         &self,
         tab: &SpendTab,
         account: &mut TotalAccount,
+        amount: Tokens,
         take: impl Fn(&TotalAccount) -> Tokens,
     ) -> Result<(), BudgetShortage> {
+        match *self.predecessor() {
+            None => return Err(BudgetShortage::StoreAway),
+            Some(PredecessorEnd::Attached(boot)) => account.inherit(boot),
+            Some(PredecessorEnd::Unknown) => {}
+        }
         for _ in 0..CONFLICT_TRIES {
             if !account.is_known() {
                 self.read_all(tab, account).await?;
             }
             let prepaid = tab.demand().prepaid;
-            let charged = self.ledger().charged(&tab.customer);
-            let Some(change) = account.change(prepaid, take(account), charged) else {
+            let take = take(account);
+            let spendable = self.spendable(&tab.customer) + take + account.inheritance();
+            let charged = self.consumed(tab) - self.ledger().held(&tab.customer);
+            let room = (spendable / OPEN_SHARE).max(amount.min(spendable));
+            let limit = self.consumed(tab) + room;
+            let Some(change) = account.change(prepaid, take, charged, limit - charged) else {
                 return Ok(());
             };
+            tab.demand().expect_limit(limit);
             // A cancelled call leaves the outcome unknown.
             account.doubt();
             match self.rows.transact(change.transaction.clone()).await {
-                Ok(RowReply::Committed(version)) => {
+                Ok(RowReply::Committed { version, .. }) => {
                     let granted = account.committed(&change, version);
                     account.trust();
                     self.ledger().credit(&tab.customer, granted);
-                    tracing::info!(customer = %tab.customer, granted, version, free = account.free(prepaid), "account changed");
+                    tab.demand().set_limit(limit);
+                    tracing::info!(customer = %tab.customer, granted, version, room, free = account.free(prepaid), "account changed");
                     return Ok(());
                 }
                 Ok(RowReply::Conflict(rows)) => {
+                    tab.demand().pending_limit = None;
                     let granted = account.adopt_conflict(&rows);
                     self.ledger().credit(&tab.customer, granted);
                     let pause = rand::rng().random_range(0..CONFLICT_PAUSE_MS);
@@ -354,6 +446,7 @@
                     tracing::warn!(customer = %tab.customer, %error, "an account could not be changed");
                     self.pause_store();
                     if error.category() == Category::Unavailable {
+                        tab.demand().pending_limit = None;
                         account.trust();
                     }
                     return Err(BudgetShortage::StoreAway);
@@ -376,10 +469,22 @@
             BudgetShortage::StoreAway
         })?;
         let granted = account.adopt_all(&page.rows);
+        let stored = account.stored();
+        tab.demand().limit = stored.charged + stored.open;
         self.ledger().credit(&tab.customer, granted);
         Ok(())
     }
 
+    fn covers(&self, tab: &SpendTab, amount: Tokens) -> bool {
+        self.spendable(&tab.customer) >= amount && self.room(tab) >= amount
+    }
+
+    fn predecessor(&self) -> MutexGuard<'_, Option<PredecessorEnd>> {
+        self.predecessor
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn pause_store(&self) {
         let mut paused = self.paused();
         *paused = Some(Instant::now() + STORE_PAUSE);
@@ -443,6 +548,24 @@
     }
 }
 
+impl TabDemand {
+    /// Consumption that is allowed whether or not the last change landed.
+    fn limit(&self) -> Tokens {
+        let pending = self.pending_limit.unwrap_or(Tokens::MAX);
+        self.limit.min(pending)
+    }
+
+    fn expect_limit(&mut self, limit: Tokens) {
+        let pending = self.pending_limit.unwrap_or(Tokens::MAX);
+        self.pending_limit = Some(limit.min(pending));
+    }
+
+    fn set_limit(&mut self, limit: Tokens) {
+        self.limit = limit;
+        self.pending_limit = None;
+    }
+}
+
 impl SpendTab {
     /// Takes in a total, which only rises.
     fn raise(&self, prepaid: Tokens) {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod board;
 mod book;
+pub mod contact;
 mod engine;
 mod fleet;
 mod follow;
@@ -33,7 +34,7 @@
 
 pub use crate::{
     board::{EndpointBoard, PlacementNeed},
-    book::{BudgetHold, BudgetShortage, SpendBook, TokenPeers},
+    book::{BudgetHold, BudgetShortage, PredecessorEnd, SpendBook, TokenPeers},
     engine::ForwardEngine,
     fleet::FleetView,
     node::{ForwardNode, ForwardPorts},
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -63,6 +63,7 @@
         let record = PeerRecord {
             boot: holder.boot,
             address: setting.peer_listen,
+            seen_ms: 0,
         };
         let view = Arc::new(FleetView::default());
         let peers = PeerGroup::new(setting.vm.clone(), record, ports.rows.clone());
@@ -92,7 +93,7 @@
         let tasks = vec![
             spawn(follow::follow_config(view.clone(), ports.records.clone())).abort_handle(),
             spawn(follow::follow_endpoints(view.clone(), ports.records)).abort_handle(),
-            spawn(peer::follow_peers(peers.clone(), notify)).abort_handle(),
+            spawn(peer::follow_peers(peers.clone(), book.clone(), notify)).abort_handle(),
             spawn(peer::follow_news(Arc::downgrade(&peers), view.clone())).abort_handle(),
             spawn(book.clone().rebalance(totals)).abort_handle(),
             spawn(forget_endpoints(engine.clone())).abort_handle(),
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -25,7 +25,8 @@
 };
 
 use crate::{
-    book::{SpendBook, TokenPeers},
+    book::{PredecessorEnd, SpendBook, TokenPeers},
+    contact::{ContactMode, HEARTBEAT_INTERVAL, StoreLink},
     fleet::FleetView,
     record::{EndpointRecord, FleetConfig},
 };
@@ -53,6 +54,10 @@
     pub boot: BootId,
     /// Address for other routers.
     pub address: SocketAddr,
+    /// Lower bound of the store's clock when this was written, in ms; see
+    /// [`StoreLink`](crate::contact::StoreLink).
+    #[serde(default)]
+    pub seen_ms: u64,
 }
 
 /// State that is newer than what the asking router has.
@@ -136,15 +141,32 @@
         })
     }
 
-    /// Registers this router; the registration of an earlier run is replaced.
+    /// Writes the registration of this router with a heartbeat.
     ///
     /// # Errors
     ///
     /// When the store does not answer.
-    pub async fn register(&self) -> jasminewall_ports::Result<()> {
+    async fn beat(&self, book: &SpendBook) -> jasminewall_ports::Result<()> {
+        let now = Instant::now();
+        let seen_ms = book.link().clock(now).unwrap_or(0);
+        let record = PeerRecord {
+            seen_ms,
+            ..self.record.clone()
+        };
         // A record of plain fields always encodes.
-        let value = Bytes::from(serde_json::to_vec(&self.record).unwrap_or_default());
-        self.write(Some(value)).await
+        let value = Bytes::from(serde_json::to_vec(&record).unwrap_or_default());
+        book.link().beat_sent(now);
+        let written = self.write(Some(value)).await;
+        let mut link = book.link();
+        match &written {
+            Ok(now_ms) => {
+                link.read_clock(*now_ms, Instant::now());
+                link.beat_landed();
+            }
+            Err(error) if error.category() == Category::Unavailable => link.beat_refused(),
+            Err(_) => link.beat_unknown(),
+        }
+        written.map(|_| ())
     }
 
     /// Removes the registration of this router.
@@ -153,17 +175,17 @@
     ///
     /// When the store does not answer.
     pub async fn unregister(&self) -> jasminewall_ports::Result<()> {
-        self.write(None).await
+        self.write(None).await.map(|_| ())
     }
 
-    async fn write(&self, value: Option<Bytes>) -> jasminewall_ports::Result<()> {
+    async fn write(&self, value: Option<Bytes>) -> jasminewall_ports::Result<u64> {
         let key = RowKey::new(PEER_TABLE, "", self.vm.clone());
         let transaction = RowTransaction {
             expect: Vec::new(),
             updates: vec![RowUpdate { key, value }],
         };
         match self.rows.transact(transaction).await? {
-            RowReply::Committed(_) => Ok(()),
+            RowReply::Committed { now_ms, .. } => Ok(now_ms),
             RowReply::Conflict(_) => Err(jasminewall_ports::Error::new(
                 Category::Invalid,
                 "the store reported a conflict for a write without a condition",
@@ -171,13 +193,19 @@
         }
     }
 
-    /// Reads the registered routers.
+    /// Reads the registered routers; says how many there are and how the run before this one ended.
     ///
     /// # Errors
     ///
     /// When the store does not answer.
-    pub async fn refresh(&self) -> jasminewall_ports::Result<usize> {
+    async fn refresh(
+        &self,
+        book: &SpendBook,
+    ) -> jasminewall_ports::Result<(usize, PredecessorEnd)> {
         let page = self.rows.read(PEER_TABLE, "").await?;
+        book.link().read_clock(page.now_ms, Instant::now());
+        let now_ms = page.now_ms;
+        let mut end = PredecessorEnd::Unknown;
         let mut peers = self.peers();
         let mut found = HashMap::new();
         for row in page.rows {
@@ -190,11 +218,16 @@
                 }
             };
             if row.key.key == self.vm {
+                if record.boot != self.record.boot
+                    && StoreLink::ended_attached(record.seen_ms, now_ms)
+                {
+                    end = PredecessorEnd::Attached(record.boot);
+                }
                 continue;
             }
             let known = peers.remove(&row.key.key);
             let link = match known {
-                Some(link) if link.record == record => link,
+                Some(link) if link.record.boot == record.boot => link,
                 _ => {
                     tracing::info!(vm = %row.key.key, address = %record.address, "router registered");
                     PeerLink {
@@ -207,7 +240,7 @@
             found.insert(row.key.key, link);
         }
         *peers = found;
-        Ok(peers.len() + 1)
+        Ok((peers.len() + 1, end))
     }
 
     /// Some routers, drawn at random from those that answer.
@@ -349,28 +382,52 @@
     Ok(())
 }
 
-/// Keeps the registration and the list of routers fresh; `notify` gets the number of routers.
-pub(crate) async fn follow_peers(group: Arc<PeerGroup>, notify: impl Fn(usize)) {
-    let mut registered = false;
+/// Keeps the heartbeat and the list of routers fresh; `notify` gets the number of routers.
+pub(crate) async fn follow_peers(
+    group: Arc<PeerGroup>,
+    book: Arc<SpendBook>,
+    notify: impl Fn(usize),
+) {
+    let mut decided = false;
+    let mut refresh_at = Instant::now();
     loop {
-        if !registered {
-            match group.register().await {
-                Ok(()) => registered = true,
-                Err(error) => tracing::warn!(%error, "the router could not be registered"),
-            }
-        }
-        let mut pause = PEER_INTERVAL;
-        match group.refresh().await {
-            Ok(routers) => notify(routers),
-            Err(error) => {
-                tracing::debug!(%error, "the routers could not be read");
-                pause = NEWS_INTERVAL;
+        let now = Instant::now();
+        let detached = book.link().mode(now) == ContactMode::Detached;
+        if now >= refresh_at || detached {
+            match group.refresh(&book).await {
+                Ok((routers, end)) => {
+                    notify(routers);
+                    refresh_at = now + PEER_INTERVAL;
+                    if !decided {
+                        tracing::info!(?end, routers, "run before this one");
+                        book.set_predecessor(end);
+                        decided = true;
+                    }
+                    if detached {
+                        attach_again(&group, &book).await;
+                    }
+                }
+                Err(error) => tracing::debug!(%error, "the routers could not be read"),
             }
         }
-        if !registered {
-            pause = NEWS_INTERVAL;
+        let may_beat = decided && book.link().may_beat(Instant::now());
+        if may_beat && let Err(error) = group.beat(&book).await {
+            tracing::warn!(%error, "the heartbeat was not written");
         }
-        tokio::time::sleep(pause).await;
+        tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+    }
+}
+
+/// Returns to open tokens after an outage: first all accounts are written, then the heartbeat.
+async fn attach_again(group: &PeerGroup, book: &SpendBook) {
+    book.link().begin_attach();
+    if !book.write_overdrawn().await {
+        book.link().cancel_attach();
+        return;
+    }
+    match group.beat(book).await {
+        Ok(()) => tracing::info!("attached to the store again"),
+        Err(error) => tracing::warn!(%error, "the heartbeat was not written; still detached"),
     }
 }
 
--- a/crates/forward/src/total.rs
+++ b/crates/forward/src/total.rs
@@ -34,8 +34,12 @@
     pub granted: Tokens,
     /// Tokens returned to the total.
     pub returned: Tokens,
-    /// Tokens consumed by requests, as of the last write.
+    /// Tokens consumed by requests or given to peers, as of the last write.
     pub charged: Tokens,
+    /// Tokens that the run may consume beyond `charged` before it writes again, unless it has lost
+    /// contact with the store for [`DETACH_AFTER`](crate::contact::DETACH_AFTER).
+    #[serde(default)]
+    pub open: Tokens,
 }
 
 impl GrantEntry {
@@ -43,6 +47,11 @@
     pub fn unspent(&self) -> Tokens {
         self.granted.saturating_sub(self.returned + self.charged)
     }
+
+    /// Tokens that the run surely has not consumed if it ended in contact with the store.
+    pub fn reclaimable(&self) -> Tokens {
+        self.unspent().saturating_sub(self.open)
+    }
 }
 
 /// Row with its version; version 0 when it is absent.
@@ -72,6 +81,7 @@
     others: Tokens,
     returned: Tokens,
     known: bool,
+    predecessor: Option<BootId>,
 }
 
 impl TotalAccount {
@@ -86,9 +96,15 @@
             others: 0,
             returned: 0,
             known: false,
+            predecessor: None,
         }
     }
 
+    /// Lets the account take over what a run that ended attached on this VM surely left.
+    pub fn inherit(&mut self, predecessor: BootId) {
+        self.predecessor = Some(predecessor);
+    }
+
     /// Whether the rows were read since the last unknown outcome.
     pub fn is_known(&self) -> bool {
         self.known
@@ -162,14 +178,21 @@
     /// Change that draws `take` tokens, returns what is set aside and stores the charges.
     ///
     /// `None` when the total has fewer free tokens, or nothing changes.
-    pub fn change(&self, prepaid: Tokens, take: Tokens, charged: Tokens) -> Option<AccountChange> {
+    pub fn change(
+        &self,
+        prepaid: Tokens,
+        take: Tokens,
+        charged: Tokens,
+        open: Tokens,
+    ) -> Option<AccountChange> {
         let before = self.own_entry();
         let owed = self.owes();
         let own = GrantEntry {
             boot: self.boot,
-            granted: before.granted + take,
+            granted: before.granted + take + self.inheritance(),
             returned: before.returned + owed,
             charged,
+            open,
         };
         let drawn = self
             .pool
@@ -180,7 +203,7 @@
         if take > 0 && drawn > prepaid {
             return None;
         }
-        if own == before {
+        if own == before || (own.granted == 0 && self.own.version == 0) {
             return None;
         }
         let pool = PoolRow { drawn };
@@ -224,7 +247,22 @@
         granted
     }
 
-    /// Own account; an earlier run's account counts as spent, since what it used is not known.
+    /// Tokens that the next change takes over from the run before.
+    pub fn inheritance(&self) -> Tokens {
+        let row = &self.own.row;
+        if self.own.version > 0 && self.predecessor == Some(row.boot) {
+            row.reclaimable()
+        } else {
+            0
+        }
+    }
+
+    /// Account as of the last known write.
+    pub fn stored(&self) -> GrantEntry {
+        self.own_entry()
+    }
+
+    /// Own account; what is not inherited of an earlier run's account counts as spent.
     fn own_entry(&self) -> GrantEntry {
         if self.own.row.boot == self.boot {
             self.own.row
--- a/crates/ports/src/row.rs
+++ b/crates/ports/src/row.rs
@@ -75,8 +75,13 @@
 /// Answer to a transaction.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RowReply {
-    /// All changes took effect with this version.
-    Committed(u64),
+    /// All changes took effect.
+    Committed {
+        /// Version of the changed rows.
+        version: u64,
+        /// Steady clock of the store at the answer, in ms.
+        now_ms: u64,
+    },
     /// A condition did not hold; the rows of all conditions as they are. An absent row has no value.
     Conflict(Vec<StoredRow>),
 }
@@ -88,6 +93,8 @@
     pub rows: Vec<StoredRow>,
     /// Newest version of the store; a watch goes on from here.
     pub version: u64,
+    /// Steady clock of the store at the answer, in ms.
+    pub now_ms: u64,
 }
 
 /// Partitioned table store with transactions and watches.
@@ -139,6 +146,8 @@
     version: u64,
     fault: RowFault,
     transactions: u64,
+    started: Option<Instant>,
+    skipped_ms: u64,
 }
 
 impl MemoryRows {
@@ -167,6 +176,11 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Moves the store's clock ahead.
+    pub fn skip(&self, ms: u64) {
+        self.with(|state| state.skipped_ms += ms);
+    }
+
     /// Content of a row.
     pub fn get(&self, key: &RowKey) -> Option<Bytes> {
         self.with(|state| state.rows.get(key).and_then(|row| row.value.clone()))
@@ -197,11 +211,13 @@
                     "the history is gone; read the whole table",
                 ));
             }
+            let now_ms = state.now_ms();
             let rows = state.history.iter();
             let rows = rows.filter(|row| row.version > since && row.key.table == table);
             Ok(RowPage {
                 rows: rows.cloned().collect(),
                 version: state.version,
+                now_ms,
             })
         })
     }
@@ -225,6 +241,12 @@
         }
     }
 
+    fn now_ms(&mut self) -> u64 {
+        let started = *self.started.get_or_insert_with(Instant::now);
+        let elapsed = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        elapsed + self.skipped_ms
+    }
+
     fn current(&self, key: &RowKey) -> StoredRow {
         self.rows.get(key).cloned().unwrap_or_else(|| StoredRow {
             key: key.clone(),
@@ -249,7 +271,10 @@
             return Err(Error::unknown());
         }
         if holds {
-            return Ok(RowReply::Committed(self.version));
+            return Ok(RowReply::Committed {
+                version: self.version,
+                now_ms: self.now_ms(),
+            });
         }
         let rows = expect.iter().map(|one| self.current(&one.key));
         Ok(RowReply::Conflict(rows.collect()))
@@ -268,11 +293,13 @@
             if state.fault == RowFault::Unavailable {
                 return Err(Error::unavailable());
             }
+            let now_ms = state.now_ms();
             let rows = state.rows.values();
             let rows = rows.filter(|row| row.key.table == table && row.key.partition == partition);
             Ok(RowPage {
                 rows: rows.cloned().collect(),
                 version: state.version,
+                now_ms,
             })
         });
         Box::pin(async move { page })
