Draw grants in advance only when the routers know each other

Cause: the first router to start counted itself alone and drew 3/4 of each total; requests whose room was used up by others counted as short of tokens. Change: routers are read every 750 ms at the start, the first grants wait 2.5 s; half of a grant is open; a refused caller comes back when whole grants open. Conclusion: refusals while the store answers are left to explain.

--- a/crates/forward/src/book.rs
+++ b/crates/forward/src/book.rs
@@ -27,18 +27,26 @@
 const STANDING_SHARE: f64 = 0.75;
 /// Part of a grant that is open to consumption before the next write, as a divisor. It lasts for
 /// the time until a run without contact may consume whole grants, and is lost by a crash.
-const OPEN_SHARE: Tokens = 3;
+const OPEN_SHARE: Tokens = 2;
+/// Part of the open tokens that must be left before the account is written again, as a divisor; an
+/// outage may begin at any moment between two writes.
+const OPEN_LEFT: Tokens = 2;
+/// Changes that one request waits for when others use up what is open.
+const OPEN_TRIES: u32 = 3;
 /// Customers up to which every router draws a grant before it sees a request, so that an outage
 /// finds none without tokens.
 const ADVANCE_CUSTOMERS: usize = 64;
-/// Longest wait before the first grants are drawn, in ms, so that routers that start together do
-/// not conflict.
+/// Wait before the first grants are drawn, until routers that start together know each other, and
+/// its random part, so that they do not conflict; both in ms.
+const ADVANCE_WAIT_MS: u64 = 2_500;
 const ADVANCE_SPREAD_MS: u64 = 2_000;
 /// Tries of a change against conflicts with other routers.
 const CONFLICT_TRIES: u32 = 8;
 /// Time in which the store is not asked again after it failed, so that requests turn to peers at
 /// once. A failure is noticed after up to 1.5 s.
 const STORE_PAUSE: Duration = Duration::from_millis(500);
+/// Time in which peers move their tokens and totals are read again.
+const RETRY_PAUSE: Duration = Duration::from_millis(1_000);
 /// Longest pause between two tries, in ms; about four transactions of a partition.
 const CONFLICT_PAUSE_MS: u64 = 20;
 /// Time after which idle or excess tokens are looked for again.
@@ -98,7 +106,8 @@
 #[derive(Default)]
 struct TabDemand {
     prepaid: Tokens,
-    refill_below: Tokens,
+    /// Spendable tokens below which the grant is refilled; `None` before the first grant.
+    refill_below: Option<Tokens>,
     /// Consumption up to which the stored account allows; see [`StoreLink`].
     limit: Tokens,
     /// Limit of a change that may have landed.
@@ -222,6 +231,12 @@
         self.link.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// When a request that was refused for its budget may find tokens.
+    pub fn retry_at(&self, now: Instant) -> Instant {
+        let detaches = self.link().detaches_at(now);
+        detaches.unwrap_or(now + RETRY_PAUSE)
+    }
+
     /// Says how the run before this one ended. Accounts are not changed before that is known.
     pub fn set_predecessor(&self, end: PredecessorEnd) {
         *self.predecessor() = Some(end);
@@ -274,7 +289,7 @@
     /// Draws grants ahead of demand and hands back what exceeds them, again and again.
     pub async fn rebalance(self: Arc<Self>, totals: impl Fn() -> Vec<(CustomerId, Tokens)>) {
         let spread = rand::rng().random_range(0..ADVANCE_SPREAD_MS);
-        tokio::time::sleep(Duration::from_millis(spread)).await;
+        tokio::time::sleep(Duration::from_millis(ADVANCE_WAIT_MS + spread)).await;
         let mut tick = tokio::time::interval(REBALANCE_INTERVAL);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
@@ -351,7 +366,8 @@
         let spendable = self.spendable(&tab.customer);
         let room = self.room(tab);
         let mut demand = tab.demand();
-        let low = spendable < demand.refill_below || room < spendable / (2 * OPEN_SHARE);
+        let below = demand.refill_below.is_none_or(|below| spendable < below);
+        let low = below || room < spendable / OPEN_SHARE / OPEN_LEFT;
         if demand.refilling || !low {
             return;
         }
@@ -372,12 +388,20 @@
         if amount > 0 && self.spendable(&tab.customer) >= amount {
             return Ok(());
         }
-        self.apply(tab, &mut account, amount, |account| {
-            self.take(tab, account, amount)
-        })
-        .await?;
-        if amount == 0 || self.covers(tab, amount) {
-            return Ok(());
+        for _ in 0..OPEN_TRIES {
+            self.apply(tab, &mut account, amount, |account| {
+                self.take(tab, account, amount)
+            })
+            .await?;
+            if amount == 0 || self.covers(tab, amount) {
+                return Ok(());
+            }
+            if self.spendable(&tab.customer) < amount {
+                break;
+            }
+        }
+        if self.spendable(&tab.customer) >= amount {
+            return Err(BudgetShortage::HeldElsewhere);
         }
         // Only a fresh look at all accounts can prove that the total is spent.
         self.read_all(tab, &mut account).await?;
@@ -506,7 +530,7 @@
         let remaining = account.free(prepaid) + self.spendable(&tab.customer);
         let holders = self.holders.load(Ordering::Relaxed);
         let target = (remaining as f64 * STANDING_SHARE) as Tokens / holders;
-        tab.demand().refill_below = target / 2;
+        tab.demand().refill_below = Some(target / 2);
         target
     }
 
--- a/crates/forward/src/contact.rs
+++ b/crates/forward/src/contact.rs
@@ -69,6 +69,12 @@
         }
     }
 
+    /// When a run that waits for the store may consume whole grants; `None` when it has contact.
+    pub fn detaches_at(&self, now: Instant) -> Option<Instant> {
+        let at = self.sent? + DETACH_AFTER;
+        (self.unresolved && now < at).then_some(at)
+    }
+
     /// Whether a heartbeat may be sent. While the outcome of one is unknown, another one would put
     /// off the time from which whole grants may be consumed.
     pub fn may_beat(&self, now: Instant) -> bool {
--- a/crates/forward/src/engine.rs
+++ b/crates/forward/src/engine.rs
@@ -45,8 +45,6 @@
 const FIRST_ANSWER_AIMS: u32 = 2;
 /// Shortest advice to come back later; endpoints free slots within this time.
 const RETRY_MIN: Duration = Duration::from_millis(200);
-/// Advice to come back when the budget is held elsewhere; grants are moved within this time.
-const RETRY_BUDGET: Duration = Duration::from_millis(1_000);
 
 /// Admits requests, places them at endpoints and relays their answers.
 pub struct ForwardEngine {
@@ -169,7 +167,7 @@
         match self.serve(request).await {
             Ok(answer) => answer,
             Err(kind) => {
-                let retry_at = retry_at(kind, arrived, deadline);
+                let retry_at = self.retry_at(kind, deadline);
                 let held_ms = arrived.elapsed().as_millis();
                 tracing::info!(request = %id, refusal = kind.code(), %held_ms, "refused");
                 self.metrics.refused(kind);
@@ -178,6 +176,23 @@
         }
     }
 
+    /// When the caller may come back: at most after a third of the time that it has left.
+    fn retry_at(&self, kind: RefusalKind, deadline: Option<Instant>) -> Option<Instant> {
+        let now = Instant::now();
+        let at = match kind {
+            RefusalKind::BudgetUnavailable => self.book.retry_at(now),
+            RefusalKind::NotConfigured | RefusalKind::NoEndpoint | RefusalKind::Stopping => {
+                now + RETRY_MIN
+            }
+            _ => return None,
+        };
+        let Some(deadline) = deadline else {
+            return Some(at);
+        };
+        let left = deadline.saturating_duration_since(now);
+        Some(at.min(now + left / 3))
+    }
+
     async fn serve(
         self: &Arc<Self>,
         request: ForwardRequest,
@@ -532,20 +547,6 @@
     }
 }
 
-/// When the caller may come back: at most after a third of the time that it has left.
-fn retry_at(kind: RefusalKind, arrived: Instant, deadline: Option<Instant>) -> Option<Instant> {
-    let pause = match kind {
-        RefusalKind::BudgetUnavailable => RETRY_BUDGET,
-        RefusalKind::NotConfigured | RefusalKind::NoEndpoint | RefusalKind::Stopping => RETRY_MIN,
-        _ => return None,
-    };
-    let now = Instant::now();
-    let left = deadline.map_or(pause * 3, |deadline| {
-        deadline.saturating_duration_since(now.max(arrived))
-    });
-    Some(now + pause.min(left / 3))
-}
-
 type WholeRead = (Vec<bytes::Bytes>, Option<crate::port::EndpointBody>);
 
 async fn read_whole(mut body: crate::port::EndpointBody) -> Result<WholeRead, CallError> {
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -35,6 +35,10 @@
 pub const PEER_TABLE: &str = "router";
 /// Time between two reads of the registered routers.
 const PEER_INTERVAL: Duration = Duration::from_secs(5);
+/// Time between two reads after the start, while others may start as well.
+const START_INTERVAL: Duration = Duration::from_millis(750);
+/// Time after the start in which the routers are read more often.
+const START_TIME: Duration = Duration::from_secs(6);
 /// Time between two questions to peers while the store does not answer; four fit into the two
 /// seconds in which a configuration must be in force.
 const NEWS_INTERVAL: Duration = Duration::from_millis(500);
@@ -390,6 +394,7 @@
 ) {
     let mut decided = false;
     let mut refresh_at = Instant::now();
+    let settled_at = refresh_at + START_TIME;
     loop {
         let now = Instant::now();
         let detached = book.link().mode(now) == ContactMode::Detached;
@@ -397,7 +402,13 @@
             match group.refresh(&book).await {
                 Ok((routers, end)) => {
                     notify(routers);
-                    refresh_at = now + PEER_INTERVAL;
+                    let starting = now < settled_at;
+                    refresh_at = now
+                        + if starting {
+                            START_INTERVAL
+                        } else {
+                            PEER_INTERVAL
+                        };
                     if !decided {
                         tracing::info!(?end, routers, "run before this one");
                         book.set_predecessor(end);
