Write an account when a request needs more than is open

Cause: a refill returned at once when the grant covered a request but the open tokens did not; the caller was refused with tokens at hand. Change: the refill checks both; tests/budget.rs guards it.

--- a/crates/forward/src/book.rs
+++ b/crates/forward/src/book.rs
@@ -385,7 +385,7 @@
         if self.is_store_paused() {
             return Err(BudgetShortage::StoreAway);
         }
-        if amount > 0 && self.spendable(&tab.customer) >= amount {
+        if amount > 0 && self.covers(tab, amount) {
             return Ok(());
         }
         for _ in 0..OPEN_TRIES {
--- /dev/null
+++ b/crates/forward/tests/budget.rs
@@ -0,0 +1,66 @@
+//! Prepaid totals: draws, outages, crashes and restarts of routers against an in-memory store.
+
+use std::{
+    pin::Pin,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use {
+    jasminewall_core::{CustomerId, HolderId, Tokens},
+    jasminewall_forward::{BudgetShortage, PredecessorEnd, SpendBook, TokenPeers},
+    jasminewall_ports::MemoryRows,
+};
+
+/// No peer ever gives tokens.
+struct NoPeers;
+
+impl TokenPeers for NoPeers {
+    fn ask<'a>(
+        &'a self,
+        _: &'a CustomerId,
+        _: Tokens,
+    ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>> {
+        Box::pin(async { 0 })
+    }
+}
+
+fn book(rows: &MemoryRows, vm: &str, boot: u64, end: PredecessorEnd) -> Arc<SpendBook> {
+    let book = SpendBook::new(
+        HolderId::new(vm, boot),
+        Arc::new(rows.clone()),
+        Arc::new(NoPeers),
+    );
+    book.set_predecessor(end);
+    book
+}
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_millis(300)
+}
+
+fn customer() -> CustomerId {
+    "parish".into()
+}
+
+/// Guards against refusals while the total has tokens: every request that fits is held.
+#[tokio::test]
+async fn requests_are_held_as_long_as_the_total_covers_them() {
+    let rows = MemoryRows::new();
+    let book = book(&rows, "vm-1", 1, PredecessorEnd::Unknown);
+    book.set_holders(9);
+    let mut used = 0;
+    for round in 0..40 {
+        let amount = 100 + round * 40;
+        let held = book.hold(&customer(), 50_000, amount, soon()).await;
+        let mut hold = held.unwrap_or_else(|shortage| {
+            panic!("round {round}: {amount} after {used} of 50000: {shortage:?}")
+        });
+        hold.set_charge(amount);
+        used += amount;
+    }
+    let left = 50_000 - used;
+    let refused = book.hold(&customer(), 50_000, left + 1, soon()).await;
+    assert_eq!(refused.err(), Some(BudgetShortage::Spent));
+    assert!(book.hold(&customer(), 50_000, left, soon()).await.is_ok());
+}
