Ask peers when the pool is drained, and return excess after a question

Change: such a router asks its peers; a router that was asked reads the accounts again and returns what exceeds its part.

--- a/crates/forward/src/book.rs
+++ b/crates/forward/src/book.rs
@@ -47,6 +47,9 @@
 const STORE_PAUSE: Duration = Duration::from_millis(500);
 /// Time in which peers move their tokens and totals are read again.
 const RETRY_PAUSE: Duration = Duration::from_millis(1_000);
+/// Time in which a pool that was found without enough tokens is not asked again; excess tokens of
+/// other routers come back to it every [`REBALANCE_INTERVAL`].
+const DRAINED_PAUSE: Duration = Duration::from_millis(500);
 /// Longest pause between two tries, in ms; about four transactions of a partition.
 const CONFLICT_PAUSE_MS: u64 = 20;
 /// Time after which idle or excess tokens are looked for again.
@@ -115,7 +118,10 @@
     /// Tokens given to peers.
     given: Tokens,
     refilling: bool,
-    spent_until: Option<Instant>,
+    /// End of the time in which the pool, found without enough tokens, is not asked again.
+    drained_until: Option<Instant>,
+    /// Set when a peer ran short, so that the pool may have fewer tokens than known here.
+    stale: bool,
 }
 
 /// Hold of one request; settled when it is dropped.
@@ -193,16 +199,17 @@
             self.refill_soon(&tab);
             return Ok(hold);
         }
-        if tab.demand().spent_until.is_some_and(|until| until > now) {
-            return Err(BudgetShortage::HeldElsewhere);
-        }
-        let refilled = timeout_at(deadline.into(), self.refill(&tab, amount)).await;
-        let shortage = match refilled {
-            Ok(Ok(())) => BudgetShortage::HeldElsewhere,
-            Ok(Err(shortage)) => shortage,
-            Err(_) => {
-                self.pause_store();
-                BudgetShortage::StoreAway
+        let drained = tab.demand().drained_until.is_some_and(|until| until > now);
+        let shortage = if drained {
+            BudgetShortage::HeldElsewhere
+        } else {
+            match timeout_at(deadline.into(), self.refill(&tab, amount)).await {
+                Ok(Ok(())) => BudgetShortage::HeldElsewhere,
+                Ok(Err(shortage)) => shortage,
+                Err(_) => {
+                    self.pause_store();
+                    BudgetShortage::StoreAway
+                }
             }
         };
         if let Some(hold) = self.try_hold(&tab, amount) {
@@ -222,7 +229,9 @@
         let tab = self.tab(customer);
         let room = self.room(&tab);
         let given = self.ledger().begin_return(customer, wanted.min(room));
-        tab.demand().given += given;
+        let mut demand = tab.demand();
+        demand.given += given;
+        demand.stale = true;
         given
     }
 
@@ -308,7 +317,11 @@
 
     async fn balance(self: &Arc<Self>, tab: &Arc<SpendTab>) {
         let excess = {
-            let account = tab.account.lock().await;
+            let mut account = tab.account.lock().await;
+            let stale = std::mem::take(&mut tab.demand().stale);
+            if stale && let Err(shortage) = self.read_all(tab, &mut account).await {
+                tracing::info!(customer = %tab.customer, ?shortage, "the accounts stay as known");
+            }
             if account.is_known() {
                 let target = self.target(tab, &account);
                 let spendable = self.spendable(&tab.customer);
@@ -417,7 +430,7 @@
             customer = %tab.customer, amount, prepaid, free = account.free(prepaid),
             others = account.held_by_others(), ?shortage, "the total does not cover a request"
         );
-        tab.demand().spent_until = Some(Instant::now() + Duration::from_millis(500));
+        tab.demand().drained_until = Some(Instant::now() + DRAINED_PAUSE);
         Err(shortage)
     }
 
