--- a/crates/forward/src/board.rs
+++ b/crates/forward/src/board.rs
@@ -4,8 +4,9 @@
 };
 
 use {
-    jasminewall_core::{DomainId, EndpointId, Tokens},
+    jasminewall_core::{DomainId, EndpointId, Tokens, VmId},
     rand::Rng,
+    serde::{Deserialize, Serialize},
     xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed},
 };
 
@@ -43,6 +44,9 @@
 const FIRST_USUAL_MS: f64 = 40.0;
 /// Prompt prefixes remembered for an endpoint.
 const PREFIX_LIMIT: usize = 512;
+/// Age at which what another router said of its load counts no more; it repeats what is not zero
+/// every second.
+const SHARE_EXPIRY: Duration = Duration::from_secs(3);
 /// Random part of a cost, so that routers with equal knowledge do not all choose the same endpoint.
 const JITTER: f64 = 0.05;
 
@@ -88,12 +92,26 @@
     }
 }
 
+/// Load that one router puts on an endpoint, for other routers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadShare {
+    /// Endpoint.
+    pub endpoint: EndpointId,
+    /// Requests of the router that have not ended.
+    pub running: u32,
+    /// Prompt tokens of the router that the endpoint has not read yet.
+    pub pending: Tokens,
+}
+
 /// What one router knows of the load and the faults of all endpoints.
 #[derive(Debug)]
 pub struct EndpointBoard {
     domain: DomainId,
     stats: HashMap<EndpointId, EndpointStats>,
     usual_ms: f64,
+    changed: HashSet<EndpointId>,
+    /// Number of the last message of each router; older ones are left out.
+    heard: HashMap<VmId, u64>,
 }
 
 #[derive(Debug)]
@@ -101,6 +119,7 @@
     born: u64,
     running: u32,
     pending: Tokens,
+    shares: HashMap<VmId, (LoadShare, Instant)>,
     load: Option<(EndpointLoad, Instant)>,
     slowdown: FadingAverage,
     failures: FadingAverage,
@@ -150,6 +169,7 @@
             born,
             running: 0,
             pending: 0,
+            shares: HashMap::new(),
             load: None,
             slowdown: FadingAverage::new(1.0, now),
             failures: FadingAverage::new(0.0, now),
@@ -163,9 +183,21 @@
         self.blocked_until.is_some_and(|until| until > now)
     }
 
-    /// Requests that run and wait at the endpoint: the report while it is fresh, and the own ones.
+    /// Requests and unread prompt tokens that all routers have at the endpoint, as far as known.
+    fn known(&self, now: Instant) -> (u32, Tokens) {
+        let fresh = self
+            .shares
+            .values()
+            .filter(|(_, heard)| now.saturating_duration_since(*heard) < SHARE_EXPIRY);
+        let start = (self.running, self.pending);
+        fresh.fold(start, |(running, pending), (share, _)| {
+            (running + share.running, pending + share.pending)
+        })
+    }
+
+    /// Requests that run and wait at the endpoint: the report while it is fresh, and those known.
     fn outstanding(&self, now: Instant) -> (f64, f64) {
-        let own = f64::from(self.running);
+        let own = f64::from(self.known(now).0);
         let Some((load, seen)) = self.load else {
             return (own, 0.0);
         };
@@ -224,6 +256,8 @@
             domain,
             stats: HashMap::new(),
             usual_ms: FIRST_USUAL_MS,
+            changed: HashSet::new(),
+            heard: HashMap::new(),
         }
     }
 
@@ -290,6 +324,7 @@
     ) -> Flight {
         let record = &placement.record;
         let usual = self.usual_ms;
+        self.changed.insert(record.id.clone());
         let stats = self.meet(record, now);
         stats.running += 1;
         stats.pending += placement.uncached;
@@ -320,6 +355,7 @@
         if flight.uncached == 0 {
             self.usual_ms += (taken_ms - self.usual_ms) * 0.05;
         }
+        self.changed.insert(flight.endpoint.clone());
         let Some(stats) = self.current(flight) else {
             return;
         };
@@ -336,6 +372,7 @@
 
     /// Notes the end of a request; `failed` when the endpoint broke off or answered with an error.
     pub fn finish(&mut self, flight: &Flight, failed: bool, now: Instant) {
+        self.changed.insert(flight.endpoint.clone());
         let Some(stats) = self.current(flight) else {
             return;
         };
@@ -356,6 +393,34 @@
         stats.blocked_until = Some(now + pause);
     }
 
+    /// Own load of the endpoints where it changed since the last call; with `all`, also of those
+    /// where it did not change and is not zero.
+    pub fn take_shares(&mut self, all: bool) -> Vec<LoadShare> {
+        let changed = std::mem::take(&mut self.changed);
+        let stats = self.stats.iter();
+        let shown = stats.filter(|(id, one)| changed.contains(*id) || (all && one.running > 0));
+        let shares = shown.map(|(id, one)| LoadShare {
+            endpoint: id.clone(),
+            running: one.running,
+            pending: one.pending,
+        });
+        shares.collect()
+    }
+
+    /// Takes in the load that another router puts on endpoints; `number` orders its messages.
+    pub fn hear(&mut self, vm: &VmId, number: u64, shares: Vec<LoadShare>, now: Instant) {
+        let last = self.heard.entry(vm.clone()).or_default();
+        if number <= *last {
+            return;
+        }
+        *last = number;
+        for share in shares {
+            if let Some(stats) = self.stats.get_mut(&share.endpoint) {
+                stats.shares.insert(vm.clone(), (share, now));
+            }
+        }
+    }
+
     /// Forgets endpoints that are not registered any more.
     pub fn retain(&mut self, records: &[EndpointRecord]) {
         let ids: HashSet<&EndpointId> = records.iter().map(|record| &record.id).collect();
@@ -374,7 +439,8 @@
         let assumed = if at_home { shared } else { 0 };
         let cached = stats.cached(chain).max(assumed);
         let uncached = prompt.input.saturating_sub(cached);
-        let read_ms = (uncached + stats.pending) as f64 / PREFILL_RATE;
+        let (_, pending) = stats.known(now);
+        let read_ms = (uncached + pending) as f64 / PREFILL_RATE;
         let (running, waiting) = stats.outstanding(now);
         let beside_ms = running * RUNNING_COST_MS + waiting * WAITING_COST_MS;
         ((read_ms + beside_ms) * stats.slowdown(now), uncached)
--- a/crates/forward/src/engine.rs
+++ b/crates/forward/src/engine.rs
@@ -11,13 +11,13 @@
 use {
     futures_util::StreamExt,
     http::StatusCode,
-    jasminewall_core::{CustomerId, DomainId, EndpointId, Tokens},
+    jasminewall_core::{CustomerId, DomainId, EndpointId, Tokens, VmId},
     smol_str::SmolStr,
-    tokio::time::timeout_at,
+    tokio::{sync::Notify, time::timeout_at},
 };
 
 use crate::{
-    board::{EndpointBoard, Flight, PlacementNeed},
+    board::{EndpointBoard, Flight, LoadShare, PlacementNeed},
     book::{BudgetHold, BudgetShortage, SpendBook},
     fleet::FleetView,
     metric::ForwardMetrics,
@@ -55,9 +55,20 @@
     windows: Mutex<HashMap<ServiceId, RetryWindow>>,
     bounds: Mutex<FleetBounds>,
     routers: AtomicUsize,
+    stop: Mutex<Option<StopWindow>>,
+    pub(crate) load_changed: Notify,
     pub(crate) metrics: ForwardMetrics,
 }
 
+/// Times of a planned stop.
+#[derive(Clone, Copy, Debug)]
+pub struct StopWindow {
+    /// From here on, requests that may last beyond the exit are refused.
+    pub refuse_at: Instant,
+    /// End of the process.
+    pub exit_at: Instant,
+}
+
 /// Request that was admitted.
 pub(crate) struct AdmittedRequest {
     pub(crate) request: ForwardRequest,
@@ -106,6 +117,7 @@
     pub(crate) fn answered(&mut self) {
         let mut board = self.engine.board();
         board.answered(&mut self.flight, None, Instant::now());
+        self.engine.load_changed.notify_one();
     }
 }
 
@@ -113,6 +125,7 @@
     fn drop(&mut self) {
         let mut board = self.engine.board();
         board.finish(&self.flight, self.failed, Instant::now());
+        self.engine.load_changed.notify_one();
     }
 }
 
@@ -139,6 +152,8 @@
             windows: Mutex::default(),
             bounds: Mutex::new(bounds),
             routers: AtomicUsize::new(1),
+            stop: Mutex::default(),
+            load_changed: Notify::new(),
             metrics: ForwardMetrics::default(),
         })
     }
@@ -154,6 +169,26 @@
         self.windows().clear();
     }
 
+    /// Sets the times of a planned stop.
+    pub fn set_stop(&self, window: StopWindow) {
+        *self.stop.lock().unwrap_or_else(PoisonError::into_inner) = Some(window);
+    }
+
+    fn is_too_late(&self, deadline: Instant) -> bool {
+        let stop = *self.stop.lock().unwrap_or_else(PoisonError::into_inner);
+        stop.is_some_and(|stop| Instant::now() >= stop.refuse_at && deadline > stop.exit_at)
+    }
+
+    /// Own load where it changed, for other routers.
+    pub(crate) fn take_shares(&self, all: bool) -> Vec<LoadShare> {
+        self.board().take_shares(all)
+    }
+
+    /// Takes in the load that another router puts on endpoints.
+    pub(crate) fn hear(&self, vm: &VmId, number: u64, shares: Vec<LoadShare>) {
+        self.board().hear(vm, number, shares, Instant::now());
+    }
+
     /// Limits and routes in force.
     pub fn config(&self) -> Option<Arc<FleetConfig>> {
         self.view.config()
@@ -217,9 +252,12 @@
         let service = route
             .pick(&mut rand::rng())
             .ok_or(RefusalKind::NoEndpoint)?;
-        let engine = config.services.get(service).and_then(|one| one.engine);
         let latest = request.arrived + route.timeout;
         let deadline = request.deadline.map_or(latest, |one| one.min(latest));
+        if self.is_too_late(deadline) {
+            return Err(RefusalKind::Stopping);
+        }
+        let engine = config.services.get(service).and_then(|one| one.engine);
         let hold = match (&customer, &request.prompt) {
             (Some(customer), Some(prompt)) => match customer.prepaid {
                 Some(prepaid) => {
@@ -395,6 +433,7 @@
         };
         let flight = board.begin(&placement, prompt, now);
         drop(board);
+        self.load_changed.notify_one();
         if admitted.sends == 0 && admitted.connects == 0 {
             self.window(&admitted.service, |window| window.deposit(now));
         }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -33,9 +33,9 @@
 pub mod total;
 
 pub use crate::{
-    board::{EndpointBoard, PlacementNeed},
+    board::{EndpointBoard, LoadShare, Placement, PlacementNeed},
     book::{BudgetHold, BudgetShortage, PredecessorEnd, SpendBook, TokenPeers},
-    engine::ForwardEngine,
+    engine::{ForwardEngine, StopWindow},
     fleet::FleetView,
     node::{ForwardNode, ForwardPorts},
     setting::ForwardSetting,
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     book::SpendBook,
-    engine::ForwardEngine,
+    engine::{ForwardEngine, StopWindow},
     fleet::FleetView,
     follow,
     peer::{self, PeerGroup, PeerRecord},
@@ -63,6 +63,7 @@
         let record = PeerRecord {
             boot: holder.boot,
             address: setting.peer_listen,
+            domain: setting.failure_domain.clone(),
             seen_ms: 0,
         };
         let view = Arc::new(FleetView::default());
@@ -75,7 +76,13 @@
             ports.endpoints,
             setting.bounds,
         );
-        peer::serve(setting.peer_listen, view.clone(), book.clone()).await?;
+        peer::serve(
+            setting.peer_listen,
+            view.clone(),
+            book.clone(),
+            engine.clone(),
+        )
+        .await?;
         let notify = {
             let (engine, book) = (engine.clone(), book.clone());
             move |routers| {
@@ -96,6 +103,7 @@
             spawn(peer::follow_peers(peers.clone(), book.clone(), notify)).abort_handle(),
             spawn(peer::follow_news(Arc::downgrade(&peers), view.clone())).abort_handle(),
             spawn(book.clone().rebalance(totals)).abort_handle(),
+            spawn(peer::share_loads(peers.clone(), engine.clone())).abort_handle(),
             spawn(forget_endpoints(engine.clone())).abort_handle(),
         ];
         Ok(Arc::new(Self {
@@ -118,8 +126,9 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
-    /// Withdraws readiness; requests are served until the process ends.
-    pub fn begin_stop(&self) {
+    /// Withdraws readiness; requests are served as long as they can end before the exit.
+    pub fn begin_stop(&self, window: StopWindow) {
+        self.engine.set_stop(window);
         self.stopping.store(true, Ordering::Relaxed);
     }
 
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -12,7 +12,7 @@
 use {
     bytes::Bytes,
     futures_util::StreamExt,
-    jasminewall_core::{BootId, CustomerId, Tokens, VmId},
+    jasminewall_core::{BootId, CustomerId, DomainId, Tokens, VmId},
     jasminewall_ports::{Category, RowKey, RowPort, RowReply, RowTransaction, RowUpdate},
     rand::seq::IndexedRandom,
     serde::{Deserialize, Serialize},
@@ -21,12 +21,15 @@
         server::{BaseChannel, Channel},
         tokio_serde::formats::Bincode,
     },
-    tokio::time::timeout,
+    tokio::time::{timeout, timeout_at},
+    xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
 use crate::{
+    board::LoadShare,
     book::{PredecessorEnd, SpendBook, TokenPeers},
     contact::{ContactMode, HEARTBEAT_INTERVAL, StoreLink},
+    engine::ForwardEngine,
     fleet::FleetView,
     record::{EndpointRecord, FleetConfig},
 };
@@ -48,6 +51,13 @@
 const NEWS_PEERS: usize = 3;
 /// Peers asked for tokens, one after the other until there are enough.
 const TOKEN_PEERS: usize = 8;
+/// Routers that exchange loads with one router.
+const NEIGHBOURS: usize = 24;
+/// Time in which changes of the load are put into one message; short against the time that an
+/// engine takes to read a prompt.
+const SHARE_PAUSE: Duration = Duration::from_millis(8);
+/// Time after which loads are repeated.
+const SHARE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time in which a peer that did not answer is not asked again.
 const SILENT_PAUSE: Duration = Duration::from_secs(2);
 
@@ -58,6 +68,8 @@
     pub boot: BootId,
     /// Address for other routers.
     pub address: SocketAddr,
+    /// Failure domain of the router.
+    pub domain: DomainId,
     /// Lower bound of the store's clock when this was written, in ms; see
     /// [`StoreLink`](crate::contact::StoreLink).
     #[serde(default)]
@@ -78,6 +90,8 @@
 pub trait RouterPeer {
     /// State that is newer than the named versions.
     async fn news(config_version: u64, endpoint_version: u64) -> FleetNews;
+    /// Load that the calling router puts on endpoints; `number` orders its messages.
+    async fn loads(vm: VmId, number: u64, shares: Vec<LoadShare>);
     /// Takes spare tokens of a customer; the answer says how many.
     async fn give(customer: CustomerId, wanted: Tokens) -> Tokens;
 }
@@ -86,6 +100,7 @@
 struct PeerServer {
     view: Arc<FleetView>,
     book: Arc<SpendBook>,
+    engine: Arc<ForwardEngine>,
 }
 
 impl RouterPeer for PeerServer {
@@ -105,6 +120,10 @@
         }
     }
 
+    async fn loads(self, _: context::Context, vm: VmId, number: u64, shares: Vec<LoadShare>) {
+        self.engine.hear(&vm, number, shares);
+    }
+
     async fn give(self, _: context::Context, customer: CustomerId, wanted: Tokens) -> Tokens {
         let given = self.book.give(&customer, wanted);
         tracing::info!(%customer, wanted, given, "gave tokens to a peer");
@@ -264,6 +283,27 @@
         targets.collect()
     }
 
+    /// Routers that exchange loads with this one: all of a small fleet, otherwise some of the same
+    /// failure domain, so that the messages of one router stay bounded.
+    fn neighbours(&self) -> Vec<PeerTarget> {
+        let now = Instant::now();
+        let peers = self.peers();
+        let small = peers.len() < NEIGHBOURS;
+        let near = peers.iter().filter(|(_, link)| {
+            (small || link.record.domain == self.record.domain)
+                && link.silent_until.is_none_or(|until| until <= now)
+        });
+        let mut near: Vec<(&VmId, &PeerLink)> = near.collect();
+        near.sort_by_key(|(vm, _)| xxh3_64_with_seed(vm.as_bytes(), self.record.boot));
+        let near = near.into_iter().take(NEIGHBOURS);
+        let targets = near.map(|(vm, link)| PeerTarget {
+            vm: vm.clone(),
+            address: link.record.address,
+            client: link.client.clone(),
+        });
+        targets.collect()
+    }
+
     /// Connection to a peer; opened if there is none.
     async fn connect(&self, target: &PeerTarget) -> Option<RouterPeerClient> {
         if let Some(client) = &target.client {
@@ -359,9 +399,10 @@
     address: SocketAddr,
     view: Arc<FleetView>,
     book: Arc<SpendBook>,
+    engine: Arc<ForwardEngine>,
 ) -> std::io::Result<()> {
     let mut incoming = tarpc::serde_transport::tcp::listen(address, Bincode::default).await?;
-    let server = PeerServer { view, book };
+    let server = PeerServer { view, book, engine };
     tokio::spawn(async move {
         while let Some(accepted) = incoming.next().await {
             let transport = match accepted {
@@ -442,6 +483,38 @@
     }
 }
 
+/// Tells other routers the own load whenever it changes.
+pub(crate) async fn share_loads(group: Arc<PeerGroup>, engine: Arc<ForwardEngine>) {
+    let mut number = 0;
+    let mut repeat_at = Instant::now() + SHARE_INTERVAL;
+    loop {
+        let changed = engine.load_changed.notified();
+        let repeat = timeout_at(repeat_at.into(), changed).await.is_err();
+        if repeat {
+            repeat_at = Instant::now() + SHARE_INTERVAL;
+        } else {
+            tokio::time::sleep(SHARE_PAUSE).await;
+        }
+        let shares = engine.take_shares(repeat);
+        if shares.is_empty() {
+            continue;
+        }
+        number += 1;
+        for target in group.neighbours() {
+            let (group, shares) = (group.clone(), shares.clone());
+            tokio::spawn(async move {
+                let Some(client) = group.connect(&target).await else {
+                    return;
+                };
+                let told = client.loads(deadline(), group.vm.clone(), number, shares);
+                if !matches!(timeout(PEER_TIMEOUT, told).await, Ok(Ok(()))) {
+                    group.note_silence(&target.vm);
+                }
+            });
+        }
+    }
+}
+
 /// Asks peers for newer state while the store does not answer.
 pub(crate) async fn follow_news(group: Weak<PeerGroup>, view: Arc<FleetView>) {
     loop {
