Place long prompts apart, weigh shared parts, and refill again when overtaken

Change: a part of the engines, as large as the long prompts' part of all tokens, takes these; the cost counts shared parts that must be read again; a refill is tried three times.

--- a/crates/forward/src/board.rs
+++ b/crates/forward/src/board.rs
@@ -16,12 +16,29 @@
     request::{PromptNeed, PromptPart},
 };
 
-/// Prompt tokens that an engine reads in a millisecond; the sheets of both deployments name 55 and
-/// more, and only the ratio to the other costs matters.
-const PREFILL_RATE: f64 = 55.0;
+/// Prompt tokens that an engine reads in a millisecond, before any prompt was measured.
+const FIRST_PREFILL_RATE: f64 = 55.0;
+/// Smallest prompt, in unread tokens, by which the rate is measured; shorter ones are dominated by
+/// the way there and the first step.
+const MEASURED_PROMPT: Tokens = 4_000;
+/// Cost of a token of a shared part that another engine has cached and this one must read, in ms
+/// beside the reading. The operators price a thousand such tokens like about a quarter of a second
+/// of delay of a request whose time to the first event is a second.
+const REREAD_COST_MS: f64 = 0.25;
+/// A prompt is long when reading its own part takes this share of the pause that its route allows
+/// between events; beside it, other streams would pause too long.
+const LONG_SHARE: f64 = 0.5;
+/// Cost of a short request at an engine that is kept for long prompts, in ms.
+const LONG_PLACE_COST_MS: f64 = 200.0;
+/// Cost of a long prompt beside a running stream, as a part of the time to read it.
+const BESIDE_LONG_SHARE: f64 = 0.5;
+/// Largest part of the engines that is kept for long prompts, as a divisor.
+const LONG_PLACES_MAX: usize = 3;
+/// Engines from which on some are kept for long prompts.
+const LONG_PLACES_FROM: usize = 4;
 /// Cost of a request that runs beside another one at an engine, in ms.
 const RUNNING_COST_MS: f64 = 1.0;
-/// Cost of a request that waits at an engine, in ms; a mean prompt at [`PREFILL_RATE`].
+/// Cost of a request that waits at an engine, in ms; about the time to read a mean prompt.
 const WAITING_COST_MS: f64 = 60.0;
 /// Cost of leaving the own failure domain, in ms: the way there and back, and the priced bytes.
 const FAR_COST_MS: f64 = 5.0;
@@ -42,6 +59,8 @@
 const SLOWDOWN_RANGE: (f64, f64) = (0.5, 8.0);
 /// Usual latency of a service before any answer was seen, in ms.
 const FIRST_USUAL_MS: f64 = 40.0;
+/// Unread tokens over which the part of long prompts is averaged; some hundred requests.
+const DEMAND_MEMORY: f64 = 500_000.0;
 /// Prompt prefixes remembered for an endpoint.
 const PREFIX_LIMIT: usize = 512;
 /// Age at which what another router said of its load counts no more; it repeats what is not zero
@@ -55,6 +74,8 @@
 pub struct PlacementNeed<'a> {
     /// Prompt, for a model engine.
     pub prompt: Option<&'a PromptNeed>,
+    /// Longest pause between two events that is still on time.
+    pub gap: Option<Duration>,
     /// Endpoints that failed this request before.
     pub avoid: &'a [EndpointId],
 }
@@ -66,6 +87,8 @@
     pub record: EndpointRecord,
     /// Expected cost in ms.
     pub cost_ms: f64,
+    /// Expected time to the first part of the answer in ms.
+    pub wait_ms: f64,
     /// Second-best endpoint and its cost in ms.
     pub runner_up: Option<(EndpointId, f64)>,
     /// Prompt tokens that the endpoint probably has to read.
@@ -80,6 +103,8 @@
     endpoint: EndpointId,
     born: u64,
     uncached: Tokens,
+    /// Whether the endpoint had no other unread prompt, as far as known.
+    alone: bool,
     predicted_ms: f64,
     sent: Instant,
     answered: bool,
@@ -109,6 +134,9 @@
     domain: DomainId,
     stats: HashMap<EndpointId, EndpointStats>,
     usual_ms: f64,
+    prefill_rate: f64,
+    /// Moving part of long prompts in all unread prompt tokens.
+    long_part: f64,
     changed: HashSet<EndpointId>,
     /// Number of the last message of each router; older ones are left out.
     heard: HashMap<VmId, u64>,
@@ -256,6 +284,8 @@
             domain,
             stats: HashMap::new(),
             usual_ms: FIRST_USUAL_MS,
+            prefill_rate: FIRST_PREFILL_RATE,
+            long_part: 0.0,
             changed: HashSet::new(),
             heard: HashMap::new(),
         }
@@ -279,14 +309,24 @@
         // With all of them blocked, a try costs less than a refusal.
         let candidates = if open.is_empty() { usable } else { open };
         let chain = prefix_chain(need.prompt.map_or(&[], |prompt| &prompt.parts));
-        let home = shared_home(&chain, &candidates);
+        let is_long = self.is_long(need, &chain);
+        let long_places = self.long_places(need, &candidates);
+        let shorts = candidates.iter().copied();
+        let shorts: Vec<&EndpointRecord> = shorts
+            .filter(|one| !long_places.contains(&&one.id))
+            .collect();
+        let home = shared_home(&chain, &shorts);
         let mut costs: Vec<(f64, Tokens, &EndpointRecord)> = Vec::with_capacity(candidates.len());
         for record in candidates {
             let stats = self.stats.get(&record.id)?;
             let (cost, uncached) = match need.prompt {
                 Some(prompt) => {
-                    let at_home = home == Some(&record.id);
-                    Self::engine_cost(stats, prompt, &chain, at_home, now)
+                    let place = EnginePlace {
+                        at_home: home == Some(&record.id),
+                        for_long: long_places.contains(&&record.id),
+                        is_long,
+                    };
+                    self.engine_cost(stats, prompt, &chain, place, now)
                 }
                 None => (self.service_cost(stats, record, now), 0),
             };
@@ -299,6 +339,9 @@
             let jitter = 1.0 + rng.random::<f64>() * JITTER;
             costs.push(((cost + far + failing) * jitter, uncached, record));
         }
+        if let Some(prompt) = need.prompt {
+            self.note_demand(prompt.input, is_long);
+        }
         costs.sort_by(|one, other| one.0.total_cmp(&other.0));
         let (cost_ms, uncached, record) = *costs.first()?;
         let stats = self.stats.get(&record.id)?;
@@ -309,6 +352,7 @@
                 .get(1)
                 .map(|(cost, _, other)| (other.id.clone(), *cost)),
             uncached,
+            wait_ms: self.expected_ms(stats, uncached, now),
             report_age: stats
                 .load
                 .map(|(_, seen)| now.saturating_duration_since(seen)),
@@ -326,12 +370,13 @@
         let usual = self.usual_ms;
         self.changed.insert(record.id.clone());
         let stats = self.meet(record, now);
+        let alone = stats.known(now).1 == 0;
         stats.running += 1;
         stats.pending += placement.uncached;
         let predicted_ms = match prompt {
             Some(prompt) => {
                 stats.remember(&prefix_chain(&prompt.parts), now);
-                placement.cost_ms.max(usual)
+                placement.wait_ms.max(usual)
             }
             None => usual,
         };
@@ -339,6 +384,7 @@
             endpoint: record.id.clone(),
             born: record.born,
             uncached: placement.uncached,
+            alone,
             predicted_ms,
             sent: now,
             answered: false,
@@ -352,6 +398,10 @@
         }
         flight.answered = true;
         let taken_ms = now.saturating_duration_since(flight.sent).as_secs_f64() * 1e3;
+        if flight.alone && flight.uncached >= MEASURED_PROMPT {
+            let rate = flight.uncached as f64 / taken_ms.max(1.0);
+            self.prefill_rate += (rate - self.prefill_rate) * 0.1;
+        }
         if flight.uncached == 0 {
             self.usual_ms += (taken_ms - self.usual_ms) * 0.05;
         }
@@ -428,22 +478,74 @@
             .retain(|id, stats| ids.contains(id) || stats.running > 0);
     }
 
+    /// Whether reading the own part of a prompt would make other streams pause for too long.
+    fn is_long(&self, need: PlacementNeed<'_>, chain: &[(u64, Tokens)]) -> bool {
+        let (Some(prompt), Some(gap)) = (need.prompt, need.gap) else {
+            return false;
+        };
+        let own = prompt.input.saturating_sub(shared_tokens(chain));
+        let read_ms = own as f64 / self.prefill_rate;
+        read_ms > gap.as_secs_f64() * 1e3 * LONG_SHARE
+    }
+
+    /// Engines that are kept for long prompts: as large a part of all as the long prompts are of
+    /// the unread tokens. All routers order the engines alike.
+    fn long_places<'a>(
+        &self,
+        need: PlacementNeed<'_>,
+        candidates: &[&'a EndpointRecord],
+    ) -> Vec<&'a EndpointId> {
+        let count = candidates.len();
+        if need.prompt.is_none() || count < LONG_PLACES_FROM {
+            return Vec::new();
+        }
+        let places = (count as f64 * self.long_part).round() as usize;
+        let mut ids: Vec<&EndpointId> = candidates.iter().map(|record| &record.id).collect();
+        ids.sort_by_key(|id| xxh3_64_with_seed(id.as_bytes(), 0));
+        ids.truncate(places.min(count / LONG_PLACES_MAX));
+        ids
+    }
+
+    fn note_demand(&mut self, input: Tokens, is_long: bool) {
+        // Weighs each prompt by its size, against a memory of a few hundred requests.
+        let weight = input as f64 / (input as f64 + DEMAND_MEMORY);
+        let part = if is_long { 1.0 } else { 0.0 };
+        self.long_part += (part - self.long_part) * weight;
+    }
+
     fn engine_cost(
+        &self,
         stats: &EndpointStats,
         prompt: &PromptNeed,
         chain: &[(u64, Tokens)],
-        at_home: bool,
+        place: EnginePlace,
         now: Instant,
     ) -> (f64, Tokens) {
-        let shared = chain.len().checked_sub(2).map_or(0, |last| chain[last].1);
-        let assumed = if at_home { shared } else { 0 };
+        let shared = shared_tokens(chain);
+        let assumed = if place.at_home { shared } else { 0 };
         let cached = stats.cached(chain).max(assumed);
         let uncached = prompt.input.saturating_sub(cached);
         let (_, pending) = stats.known(now);
-        let read_ms = (uncached + pending) as f64 / PREFILL_RATE;
+        let read_ms = uncached as f64 / self.prefill_rate;
+        let wait_ms = pending as f64 / self.prefill_rate;
         let (running, waiting) = stats.outstanding(now);
         let beside_ms = running * RUNNING_COST_MS + waiting * WAITING_COST_MS;
-        ((read_ms + beside_ms) * stats.slowdown(now), uncached)
+        let reread = shared.saturating_sub(cached) as f64 * REREAD_COST_MS;
+        let misplaced = match (place.is_long, place.for_long) {
+            (true, false) => running * read_ms * BESIDE_LONG_SHARE,
+            (false, true) => LONG_PLACE_COST_MS,
+            _ => 0.0,
+        };
+        let slow = stats.slowdown(now);
+        let cost = (read_ms + wait_ms + beside_ms) * slow + reread + misplaced;
+        (cost, uncached)
+    }
+
+    /// Time to the first event, without what the engine's slowness adds.
+    fn expected_ms(&self, stats: &EndpointStats, uncached: Tokens, now: Instant) -> f64 {
+        let (running, pending) = stats.known(now);
+        let read_ms = (uncached + pending) as f64 / self.prefill_rate;
+        read_ms + f64::from(running) * RUNNING_COST_MS
     }
 
     fn service_cost(&self, stats: &EndpointStats, record: &EndpointRecord, now: Instant) -> f64 {
@@ -475,6 +577,19 @@
     }
 }
 
+/// How a request and an engine fit.
+#[derive(Clone, Copy, Debug)]
+struct EnginePlace {
+    at_home: bool,
+    for_long: bool,
+    is_long: bool,
+}
+
+/// Tokens of the shared parts of a prompt; the last part belongs to the request.
+fn shared_tokens(chain: &[(u64, Tokens)]) -> Tokens {
+    chain.len().checked_sub(2).map_or(0, |last| chain[last].1)
+}
+
 /// Endpoint that keeps the shared parts of a prompt, by rendezvous hashing, so that all routers
 /// send requests with the same parts to the same engine.
 fn shared_home<'a>(
--- a/crates/forward/src/book.rs
+++ b/crates/forward/src/book.rs
@@ -127,7 +127,10 @@
 /// Hold of one request; settled when it is dropped.
 pub struct BudgetHold {
     book: Arc<SpendBook>,
+    /// Name of the request in the log.
     request: RequestId,
+    /// Name of the hold in the ledger; callers may repeat their ids.
+    number: RequestId,
     charge: Tokens,
 }
 
@@ -145,9 +148,14 @@
 
 impl Drop for BudgetHold {
     fn drop(&mut self) {
-        let settled = self.book.ledger().settle(&self.request, self.charge);
-        if let Err(error) = settled {
-            tracing::error!(request = %self.request, %error, "a hold could not be settled");
+        let settled = self.book.ledger().settle(&self.number, self.charge);
+        match settled {
+            Ok(charge) => tracing::info!(
+                request = %self.request, customer = %charge.budget, charged = charge.tokens, "settled"
+            ),
+            Err(error) => {
+                tracing::error!(request = %self.request, %error, "a hold could not be settled");
+            }
         }
     }
 }
@@ -187,6 +195,7 @@
     /// Says why the tokens cannot be had before `deadline`.
     pub async fn hold(
         self: &Arc<Self>,
+        request: &RequestId,
         customer: &CustomerId,
         prepaid: Tokens,
         amount: Tokens,
@@ -195,7 +204,7 @@
         let tab = self.tab(customer);
         let now = Instant::now();
         tab.raise(prepaid);
-        if let Some(hold) = self.try_hold(&tab, amount) {
+        if let Some(hold) = self.try_hold(&tab, request, amount) {
             self.refill_soon(&tab);
             return Ok(hold);
         }
@@ -212,7 +221,7 @@
                 }
             }
         };
-        if let Some(hold) = self.try_hold(&tab, amount) {
+        if let Some(hold) = self.try_hold(&tab, request, amount) {
             return Ok(hold);
         }
         if shortage != BudgetShortage::Spent {
@@ -221,7 +230,7 @@
             self.ledger().credit(customer, given);
             tracing::info!(%customer, missing, given, "asked peers for tokens");
         }
-        self.try_hold(&tab, amount).ok_or(shortage)
+        self.try_hold(&tab, request, amount).ok_or(shortage)
     }
 
     /// Takes tokens out of the ledger for a peer that has a request to serve.
@@ -350,16 +359,22 @@
         self.apply(tab, &mut account, 0, |_| 0).await
     }
 
-    fn try_hold(self: &Arc<Self>, tab: &SpendTab, amount: Tokens) -> Option<BudgetHold> {
+    fn try_hold(
+        self: &Arc<Self>,
+        tab: &SpendTab,
+        request: &RequestId,
+        amount: Tokens,
+    ) -> Option<BudgetHold> {
         if self.room(tab) < amount {
             return None;
         }
         let number = self.next_hold.fetch_add(1, Ordering::Relaxed);
-        let request = RequestId::from(number.to_string());
-        self.ledger().hold(&tab.customer, &request, amount).ok()?;
+        let number = RequestId::from(number.to_string());
+        self.ledger().hold(&tab.customer, &number, amount).ok()?;
         Some(BudgetHold {
             book: self.clone(),
-            request,
+            request: request.clone(),
+            number,
             charge: 0,
         })
     }
@@ -409,11 +424,8 @@
             if amount == 0 || self.covers(tab, amount) {
                 return Ok(());
             }
-            if self.spendable(&tab.customer) < amount {
-                break;
-            }
         }
-        if self.spendable(&tab.customer) >= amount {
+        if self.spendable(&tab.customer) >= amount || account.free(tab.demand().prepaid) >= amount {
             return Err(BudgetShortage::HeldElsewhere);
         }
         // Only a fresh look at all accounts can prove that the total is spent.
--- a/crates/forward/src/engine.rs
+++ b/crates/forward/src/engine.rs
@@ -263,7 +263,10 @@
                 Some(prepaid) => {
                     let amount = prompt.input + prompt.output;
                     let wait = deadline.min(Instant::now() + HOLD_WAIT);
-                    let hold = self.book.hold(&customer.name, prepaid, amount, wait).await;
+                    let hold = self
+                        .book
+                        .hold(&request.id, &customer.name, prepaid, amount, wait)
+                        .await;
                     Some(hold.map_err(|shortage| match shortage {
                         BudgetShortage::Spent => RefusalKind::BudgetSpent,
                         BudgetShortage::HeldElsewhere | BudgetShortage::StoreAway => {
@@ -422,6 +425,7 @@
         let prompt = admitted.request.prompt.as_ref();
         let need = PlacementNeed {
             prompt,
+            gap: admitted.route.target_gap,
             avoid: &admitted.avoid,
         };
         let mut board = self.board();
--- a/crates/forward/src/record.rs
+++ b/crates/forward/src/record.rs
@@ -54,6 +54,8 @@
     pub timeout: Duration,
     /// Time to the answer, or its first event, that the operator aims at.
     pub target_latency: Duration,
+    /// Longest pause between two events of a stream that is still on time.
+    pub target_gap: Option<Duration>,
     /// Most endpoints that one request may be sent to.
     pub attempts: u32,
     /// Rank of the route; 0 is the most urgent.
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -29,6 +29,8 @@
     splitter: EventSplitter,
     last_event: Option<u64>,
     events: u64,
+    last_at: Instant,
+    longest_gap: Duration,
 }
 
 /// How the present endpoint's part of a stream goes on.
@@ -55,6 +57,8 @@
             splitter: EventSplitter::default(),
             last_event: None,
             events: 0,
+            last_at: Instant::now(),
+            longest_gap: Duration::ZERO,
         };
         ForwardAnswer::Relayed {
             status,
@@ -129,6 +133,12 @@
         {
             return None;
         }
+        let now = Instant::now();
+        if self.events > 0 {
+            let gap = now.saturating_duration_since(self.last_at);
+            self.longest_gap = self.longest_gap.max(gap);
+        }
+        self.last_at = now;
         self.last_event = event.id.or(self.last_event);
         self.events += 1;
         let tokens = self.admitted.event_tokens;
@@ -191,7 +201,8 @@
         let taken_ms = arrived.elapsed().as_millis();
         tracing::info!(
             request = %self.admitted.request.id, endpoint = %self.flight.endpoint(),
-            events = self.events, %taken_ms, "answered"
+            events = self.events, longest_gap_ms = self.longest_gap.as_millis() as u64, %taken_ms,
+            "answered"
         );
         self.engine
             .metrics
--- a/crates/forward/tests/budget.rs
+++ b/crates/forward/tests/budget.rs
@@ -52,7 +52,9 @@
     let mut used = 0;
     for round in 0..40 {
         let amount = 100 + round * 40;
-        let held = book.hold(&customer(), 50_000, amount, soon()).await;
+        let held = book
+            .hold(&"request".into(), &customer(), 50_000, amount, soon())
+            .await;
         let mut hold = held.unwrap_or_else(|shortage| {
             panic!("round {round}: {amount} after {used} of 50000: {shortage:?}")
         });
@@ -60,7 +62,13 @@
         used += amount;
     }
     let left = 50_000 - used;
-    let refused = book.hold(&customer(), 50_000, left + 1, soon()).await;
+    let refused = book
+        .hold(&"request".into(), &customer(), 50_000, left + 1, soon())
+        .await;
     assert_eq!(refused.err(), Some(BudgetShortage::Spent));
-    assert!(book.hold(&customer(), 50_000, left, soon()).await.is_ok());
+    assert!(
+        book.hold(&"request".into(), &customer(), 50_000, left, soon())
+            .await
+            .is_ok()
+    );
 }
