Open tokens by demand, and hand tokens to peers at a stop without the store

Change: what is open follows four seconds of the customer's demand; a stop that cannot reach the store hands its tokens to a peer.

--- a/crates/forward/src/book.rs
+++ b/crates/forward/src/book.rs
@@ -25,12 +25,16 @@
 /// store of a quarter of the time for which a total lasts, at twice the usual demand; the rest is
 /// what a crash of every router leaves.
 const STANDING_SHARE: f64 = 0.75;
-/// Part of a grant that is open to consumption before the next write, as a divisor. It lasts for
-/// the time until a run without contact may consume whole grants, and is lost by a crash.
-const OPEN_SHARE: Tokens = 2;
+/// Time of own demand that is open to consumption before the next write. It covers the time until a
+/// run without contact may consume whole grants, and the time between two writes; a crash loses it.
+const OPEN_COVER: Duration = Duration::from_secs(4);
+/// Smallest open part of a grant, as a divisor, for customers without recent demand.
+const OPEN_FLOOR: Tokens = 8;
 /// Part of the open tokens that must be left before the account is written again, as a divisor; an
 /// outage may begin at any moment between two writes.
 const OPEN_LEFT: Tokens = 2;
+/// Time constant of the demand of a customer; short enough to follow a swing within seconds.
+const DEMAND_WINDOW: Duration = Duration::from_secs(5);
 /// Changes that one request waits for when others use up what is open.
 const OPEN_TRIES: u32 = 3;
 /// Customers up to which every router draws a grant before it sees a request, so that an outage
@@ -74,6 +78,12 @@
         customer: &'a CustomerId,
         wanted: Tokens,
     ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>>;
+    /// Hands tokens to a peer; says whether one took them.
+    fn deposit<'a>(
+        &'a self,
+        customer: &'a CustomerId,
+        tokens: Tokens,
+    ) -> Pin<Box<dyn Future<Output = bool> + Send + 'a>>;
 }
 
 /// Tokens of all customers that this router may spend.
@@ -111,6 +121,9 @@
     prepaid: Tokens,
     /// Spendable tokens below which the grant is refilled; `None` before the first grant.
     refill_below: Option<Tokens>,
+    /// Room below which the account is written again.
+    write_below: Tokens,
+    rate: DemandRate,
     /// Consumption up to which the stored account allows; see [`StoreLink`].
     limit: Tokens,
     /// Limit of a change that may have landed.
@@ -124,6 +137,32 @@
     stale: bool,
 }
 
+/// Moving rate of the tokens that a customer's requests ask for.
+#[derive(Clone, Copy, Debug, Default)]
+struct DemandRate {
+    per_second: f64,
+    updated: Option<Instant>,
+}
+
+impl DemandRate {
+    fn add(&mut self, tokens: Tokens, now: Instant) {
+        self.per_second = self.at(now) + tokens as f64 / DEMAND_WINDOW.as_secs_f64();
+        self.updated = Some(now);
+    }
+
+    fn at(&self, now: Instant) -> f64 {
+        let Some(updated) = self.updated else {
+            return 0.0;
+        };
+        let passed = now.saturating_duration_since(updated).as_secs_f64();
+        self.per_second * (-passed / DEMAND_WINDOW.as_secs_f64()).exp()
+    }
+
+    fn expect(&self, time: Duration, now: Instant) -> Tokens {
+        (self.at(now) * time.as_secs_f64()) as Tokens
+    }
+}
+
 /// Hold of one request; settled when it is dropped.
 pub struct BudgetHold {
     book: Arc<SpendBook>,
@@ -204,6 +243,7 @@
         let tab = self.tab(customer);
         let now = Instant::now();
         tab.raise(prepaid);
+        tab.demand().rate.add(amount, now);
         if let Some(hold) = self.try_hold(&tab, request, amount) {
             self.refill_soon(&tab);
             return Ok(hold);
@@ -293,17 +333,33 @@
         limit.saturating_sub(self.consumed(tab))
     }
 
-    /// Hands back all tokens that no request holds, as far as the store answers before `deadline`.
+    /// Hands back all tokens that no request holds, to the store or, while it does not answer, to
+    /// peers.
     pub async fn return_all(&self, deadline: Instant) {
         let tabs: Vec<Arc<SpendTab>> = self.tabs().values().cloned().collect();
         for tab in tabs {
             let spare = self.spendable(&tab.customer);
-            let returned = timeout_at(deadline.into(), self.hand_back(&tab, spare)).await;
-            let done = matches!(returned, Ok(Ok(())));
-            tracing::info!(customer = %tab.customer, tokens = spare, done, "returned tokens at the stop");
+            let returned = if self.is_store_paused() {
+                None
+            } else {
+                let hand_back = self.hand_back(&tab, spare);
+                timeout_at(deadline.into(), hand_back).await.ok()
+            };
+            if returned == Some(Ok(())) {
+                tracing::info!(customer = %tab.customer, tokens = spare, "returned tokens at the stop");
+                continue;
+            }
+            let tokens = self.give(&tab.customer, spare);
+            let kept = self.peers.deposit(&tab.customer, tokens).await;
+            tracing::info!(customer = %tab.customer, tokens, kept, "gave tokens to a peer at the stop");
         }
     }
 
+    /// Adds tokens that a peer hands over.
+    pub fn receive(&self, customer: &CustomerId, tokens: Tokens) {
+        self.ledger().credit(customer, tokens);
+    }
+
     /// Draws grants ahead of demand and hands back what exceeds them, again and again.
     pub async fn rebalance(self: Arc<Self>, totals: impl Fn() -> Vec<(CustomerId, Tokens)>) {
         let spread = rand::rng().random_range(0..ADVANCE_SPREAD_MS);
@@ -395,7 +451,7 @@
         let room = self.room(tab);
         let mut demand = tab.demand();
         let below = demand.refill_below.is_none_or(|below| spendable < below);
-        let low = below || room < spendable / OPEN_SHARE / OPEN_LEFT;
+        let low = below || room < demand.write_below.min(spendable);
         if demand.refilling || !low {
             return;
         }
@@ -467,7 +523,9 @@
             let take = take(account);
             let spendable = self.spendable(&tab.customer) + take + account.inheritance();
             let charged = self.consumed(tab) - self.ledger().held(&tab.customer);
-            let room = (spendable / OPEN_SHARE).max(amount.min(spendable));
+            let expected = tab.demand().rate.expect(OPEN_COVER, Instant::now());
+            let room = expected.max(spendable / OPEN_FLOOR).max(amount);
+            let room = room.min(spendable);
             let limit = self.consumed(tab) + room;
             let Some(change) = account.change(prepaid, take, charged, limit - charged) else {
                 return Ok(());
@@ -480,7 +538,7 @@
                     let granted = account.committed(&change, version);
                     account.trust();
                     self.ledger().credit(&tab.customer, granted);
-                    tab.demand().set_limit(limit);
+                    tab.demand().set_limit(limit, room);
                     tracing::info!(customer = %tab.customer, granted, version, room, free = account.free(prepaid), "account changed");
                     return Ok(());
                 }
@@ -609,8 +667,9 @@
         self.pending_limit = Some(limit.min(pending));
     }
 
-    fn set_limit(&mut self, limit: Tokens) {
+    fn set_limit(&mut self, limit: Tokens, room: Tokens) {
         self.limit = limit;
+        self.write_below = room / OPEN_LEFT;
         self.pending_limit = None;
     }
 }
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -58,6 +58,8 @@
 const SHARE_PAUSE: Duration = Duration::from_millis(8);
 /// Time after which loads are repeated.
 const SHARE_INTERVAL: Duration = Duration::from_secs(1);
+/// Peers to which a connection is tried before tokens are left behind at a stop.
+const DEPOSIT_PEERS: usize = 3;
 /// Time in which a peer that did not answer is not asked again.
 const SILENT_PAUSE: Duration = Duration::from_secs(2);
 
@@ -94,6 +96,8 @@
     async fn loads(vm: VmId, number: u64, shares: Vec<LoadShare>);
     /// Takes spare tokens of a customer; the answer says how many.
     async fn give(customer: CustomerId, wanted: Tokens) -> Tokens;
+    /// Hands over tokens of a customer.
+    async fn deposit(customer: CustomerId, tokens: Tokens);
 }
 
 #[derive(Clone)]
@@ -124,6 +128,11 @@
         self.engine.hear(&vm, number, shares);
     }
 
+    async fn deposit(self, _: context::Context, customer: CustomerId, tokens: Tokens) {
+        self.book.receive(&customer, tokens);
+        tracing::info!(%customer, tokens, "a peer handed over tokens");
+    }
+
     async fn give(self, _: context::Context, customer: CustomerId, wanted: Tokens) -> Tokens {
         let given = self.book.give(&customer, wanted);
         tracing::info!(%customer, wanted, given, "gave tokens to a peer");
@@ -382,6 +391,25 @@
             total
         })
     }
+
+    fn deposit<'a>(
+        &'a self,
+        customer: &'a CustomerId,
+        tokens: Tokens,
+    ) -> Pin<Box<dyn Future<Output = bool> + Send + 'a>> {
+        Box::pin(async move {
+            for target in self.draw(DEPOSIT_PEERS) {
+                let Some(client) = self.connect(&target).await else {
+                    continue;
+                };
+                let taken = client.deposit(deadline(), customer.clone(), tokens);
+                let taken = timeout(PEER_TIMEOUT, taken).await;
+                // Without an answer the tokens may have arrived; they are not handed over twice.
+                return matches!(taken, Ok(Ok(())));
+            }
+            false
+        })
+    }
 }
 
 fn deadline() -> context::Context {
--- a/crates/forward/tests/budget.rs
+++ b/crates/forward/tests/budget.rs
@@ -23,6 +23,14 @@
     ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>> {
         Box::pin(async { 0 })
     }
+
+    fn deposit<'a>(
+        &'a self,
+        _: &'a CustomerId,
+        _: Tokens,
+    ) -> Pin<Box<dyn Future<Output = bool> + Send + 'a>> {
+        Box::pin(async { false })
+    }
 }
 
 fn book(rows: &MemoryRows, vm: &str, boot: u64, end: PredecessorEnd) -> Arc<SpendBook> {
