Draw nothing after a stop returned its tokens

Refused requests counted as demand and opened more. Change: the stop closes the book first; only held requests count as demand.

--- a/crates/forward/src/book.rs
+++ b/crates/forward/src/book.rs
@@ -4,7 +4,7 @@
     pin::Pin,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -99,6 +99,8 @@
     predecessor: Mutex<Option<PredecessorEnd>>,
     holders: AtomicU64,
     next_hold: AtomicU64,
+    /// Set by the stop, from which on nothing is drawn.
+    closed: AtomicBool,
 }
 
 /// How the run before this one on the VM ended.
@@ -214,6 +216,7 @@
             predecessor: Mutex::default(),
             holders: AtomicU64::new(1),
             next_hold: AtomicU64::new(0),
+            closed: AtomicBool::new(false),
         })
     }
 
@@ -244,7 +247,6 @@
         let tab = self.tab(customer);
         let now = Instant::now();
         tab.raise(prepaid);
-        tab.demand().rate.add(amount, now);
         if let Some(hold) = self.try_hold(&tab, request, amount) {
             self.refill_soon(&tab);
             return Ok(hold);
@@ -337,6 +339,7 @@
     /// Hands back all tokens that no request holds, to the store or, while it does not answer, to
     /// peers.
     pub async fn return_all(&self, deadline: Instant) {
+        self.closed.store(true, Ordering::Relaxed);
         let tabs: Vec<Arc<SpendTab>> = self.tabs().values().cloned().collect();
         for tab in tabs {
             let spare = self.spendable(&tab.customer);
@@ -428,6 +431,7 @@
         let number = self.next_hold.fetch_add(1, Ordering::Relaxed);
         let number = RequestId::from(number.to_string());
         self.ledger().hold(&tab.customer, &number, amount).ok()?;
+        tab.demand().rate.add(amount, Instant::now());
         Some(BudgetHold {
             book: self.clone(),
             request: request.clone(),
@@ -467,7 +471,7 @@
 
     async fn refill(&self, tab: &SpendTab, amount: Tokens) -> Result<(), BudgetShortage> {
         let mut account = tab.account.lock().await;
-        if self.is_store_paused() {
+        if self.is_store_paused() || self.closed.load(Ordering::Relaxed) {
             return Err(BudgetShortage::StoreAway);
         }
         if amount > 0 && self.covers(tab, amount) {
@@ -531,6 +535,7 @@
             let Some(change) = account.change(prepaid, take, charged, limit - charged) else {
                 return Ok(());
             };
+            let (inherited, stranded) = (account.inheritance(), account.stranded());
             tab.demand().expect_limit(limit);
             // A cancelled call leaves the outcome unknown.
             account.doubt();
@@ -538,6 +543,9 @@
                 Ok(RowReply::Committed { version, .. }) => {
                     let granted = account.committed(&change, version);
                     account.trust();
+                    if inherited + stranded > 0 {
+                        tracing::info!(customer = %tab.customer, inherited, stranded, "took over the account of an earlier run");
+                    }
                     self.ledger().credit(&tab.customer, granted);
                     tab.demand().set_limit(limit, room);
                     tracing::info!(customer = %tab.customer, granted, version, room, free = account.free(prepaid), "account changed");
--- a/crates/forward/src/total.rs
+++ b/crates/forward/src/total.rs
@@ -257,6 +257,14 @@
         }
     }
 
+    /// Tokens of an earlier run's account that count as spent, since their use is not known.
+    pub fn stranded(&self) -> Tokens {
+        if self.own.version == 0 || self.own.row.boot == self.boot {
+            return 0;
+        }
+        self.own.row.unspent() - self.inheritance()
+    }
+
     /// Account as of the last known write.
     pub fn stored(&self) -> GrantEntry {
         self.own_entry()
--- a/crates/forward/tests/budget.rs
+++ b/crates/forward/tests/budget.rs
@@ -7,9 +7,10 @@
 };
 
 use {
+    bytes::Bytes,
     jasminewall_core::{CustomerId, HolderId, Tokens},
     jasminewall_forward::{BudgetShortage, PredecessorEnd, SpendBook, TokenPeers},
-    jasminewall_ports::MemoryRows,
+    jasminewall_ports::{MemoryRows, RowKey},
 };
 
 /// No peer ever gives tokens.
@@ -80,3 +81,31 @@
             .is_ok()
     );
 }
+
+fn drawn(rows: &MemoryRows) -> Tokens {
+    let row = rows.get(&RowKey::new("spend", customer(), "pool"));
+    let row: Bytes = row.expect("the pool row is there");
+    let pool: serde_json::Value = serde_json::from_slice(&row).expect("the pool row is JSON");
+    pool["drawn"]
+        .as_u64()
+        .expect("the drawn tokens are a number")
+}
+
+/// Guards against grants that a stopping router draws again after it returned them, which were
+/// stranded when it ended (llvc-auth scale-1).
+#[tokio::test]
+async fn a_stopping_router_draws_nothing_after_it_returned_its_tokens() {
+    let rows = MemoryRows::new();
+    let book = book(&rows, "vm-1", 1, PredecessorEnd::Unknown);
+    let held = book
+        .hold(&"request".into(), &customer(), 50_000, 700, soon())
+        .await;
+    held.expect("the total covers the request").set_charge(700);
+    book.return_all(soon()).await;
+    assert_eq!(drawn(&rows), 700);
+    let late = book
+        .hold(&"late".into(), &customer(), 50_000, 10, soon())
+        .await;
+    assert!(late.is_err(), "a stopped book holds nothing");
+    assert_eq!(drawn(&rows), 700);
+}
