--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -39,19 +39,14 @@
 }
 
 /// Contact with the store, as the watches see it.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 enum StoreContact {
+    #[default]
     Steady,
     Away(Instant),
     ReturnedAt(Instant),
 }
 
-impl Default for StoreContact {
-    fn default() -> Self {
-        Self::Steady
-    }
-}
-
 impl FleetView {
     /// Configuration in force.
     pub fn config(&self) -> Option<Arc<FleetConfig>> {
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -419,7 +419,7 @@
 
 fn deadline() -> context::Context {
     let mut context = context::current();
-    context.deadline = (Instant::now() + PEER_TIMEOUT).into();
+    context.deadline = Instant::now() + PEER_TIMEOUT;
     context
 }
 
