Send crash counts to peers that have not answered a probe yet

Cause: crashing_request saw three crashes: right after the start, vm-1 knew no address of vm-2, which probed it already and took the same request 60 ms after the second crash; crash counts went to peers that answer probes only. Change: they go to every peer that may run and to the addresses of the settings. Ruled out: delivery that takes longer than 300 ms (no call failed in the traces).

--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -6,7 +6,7 @@
 mod register;
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError, RwLock,
@@ -164,14 +164,25 @@
 
     /// Routers that answer probes.
     pub(crate) fn peers(&self) -> Vec<PeerView> {
-        let alive = self.members().views(Instant::now()).into_iter();
-        let alive = alive.filter(|view| view.state == MemberState::Alive);
+        self.peers_where(|state| state == MemberState::Alive)
+    }
+
+    /// Addresses at which peers may run, whether or not they have answered a probe yet.
+    pub(crate) fn possible_addresses(&self, seeds: &[SocketAddr]) -> BTreeSet<SocketAddr> {
+        let peers = self.peers_where(|state| state != MemberState::Gone);
+        let known = peers.iter().map(|peer| peer.address);
+        known.chain(seeds.iter().copied()).collect()
+    }
+
+    fn peers_where(&self, wanted: impl Fn(MemberState) -> bool) -> Vec<PeerView> {
+        let views = self.members().views(Instant::now()).into_iter();
+        let views = views.filter(|view| wanted(view.state));
         let peer = |view: MemberView| PeerView {
             same_domain: view.failure_domain == self.own_domain,
             holder: view.holder,
             address: view.address,
         };
-        alive.map(peer).collect()
+        views.map(peer).collect()
     }
 
     pub(crate) fn members(&self) -> MutexGuard<'_, MemberTable> {
