--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,10 +1,10 @@
 //! The jasminewall router: serves callers, spends grants and follows the fleet's configuration.
 //!
 //! ```no_run
-//! use jasminewall_router::{EmbedFleet, telemetry};
+//! use jasminewall_router::{EmbedFleet, setting::LogFormat, telemetry};
 //!
 //! # async fn start() -> anyhow::Result<()> {
-//! telemetry::start(telemetry::LogFormat::Text, "warn")?;
+//! telemetry::start(LogFormat::Text, "warn")?;
 //! let fleet = EmbedFleet::start("127.0.0.1".parse()?).await?;
 //! println!("{}", fleet.summary());
 //! # Ok(())
