Log admissions, and count failed connections as failures

Change: an admission line with route, version and customer; questions to peers name the request; a failed connection raises the failure cost of its endpoint; log lines lost the spans of the peer calls.

--- a/crates/forward/src/board.rs
+++ b/crates/forward/src/board.rs
@@ -439,6 +439,7 @@
             return;
         };
         let pause = (BLOCK_MIN * 2_u32.saturating_pow(stats.blocks)).min(BLOCK_MAX);
+        stats.failures.observe(1.0, now);
         stats.blocks = (stats.blocks + 1).min(8);
         stats.blocked_until = Some(now + pause);
     }
--- a/crates/forward/src/book.rs
+++ b/crates/forward/src/book.rs
@@ -273,7 +273,7 @@
             let missing = amount.saturating_sub(self.spendable(customer));
             let given = self.peers.ask(customer, missing).await;
             self.ledger().credit(customer, given);
-            tracing::info!(%customer, missing, given, "asked peers for tokens");
+            tracing::info!(%request, %customer, missing, given, ?shortage, "asked peers for tokens");
         }
         self.try_hold(&tab, request, amount).ok_or(shortage)
     }
--- a/crates/forward/src/engine.rs
+++ b/crates/forward/src/engine.rs
@@ -258,6 +258,10 @@
             return Err(RefusalKind::Stopping);
         }
         let engine = config.services.get(service).and_then(|one| one.engine);
+        tracing::info!(
+            request = %request.id, route = %route.name, service = %service, version = config.version,
+            customer = customer.as_ref().map(|one| one.name.as_str()), "admitted"
+        );
         let hold = match (&customer, &request.prompt) {
             (Some(customer), Some(prompt)) => match customer.prepaid {
                 Some(prepaid) => {
@@ -279,10 +283,6 @@
             _ => None,
         };
         let rank = customer.as_ref().and_then(|one| one.priority);
-        tracing::debug!(
-            request = %request.id, route = %route.name, service = %service, version = config.version,
-            customer = customer.as_ref().map(|one| one.name.as_str()), "admitted"
-        );
         Ok(AdmittedRequest {
             service: service.clone(),
             customer: customer.map(|one| one.name),
--- a/crates/router/src/telemetry.rs
+++ b/crates/router/src/telemetry.rs
@@ -77,7 +77,12 @@
         .with_writer(writer);
     let started = match format {
         LogFormat::Text => builder.try_init(),
-        LogFormat::Json => builder.json().flatten_event(true).try_init(),
+        LogFormat::Json => builder
+            .json()
+            .flatten_event(true)
+            .with_current_span(false)
+            .with_span_list(false)
+            .try_init(),
     };
     started.map_err(|error| anyhow!("cannot start logging: {error}"))?;
     Ok(LogGuard {
