--- /dev/null
+++ b/crates/forward/tests/setting.rs
@@ -0,0 +1,51 @@
+//! Settings: the template of the deployment and reports of mistakes.
+
+use std::time::Duration;
+
+use jasminewall_forward::ForwardSetting;
+
+/// The template as the platform fills it in, with its documented sample values.
+fn filled_template() -> String {
+    let text = include_str!("../../../deploy/router.ini");
+    let values = [
+        ("NodeName", "edge-a-1"),
+        ("Zone", "a"),
+        ("Listen.Front", "10.1.0.40:8227"),
+        ("Listen.Readiness", "10.1.0.40:8220"),
+        ("Ip", "10.1.0.40"),
+        ("InternalPorts.0", "7340"),
+        ("Platform.Address", "10.200.1.7:8223"),
+        ("Bounds.GraceS", "8"),
+        ("Bounds.RetryBudgetRatio", "0.2"),
+        ("Bounds.RetryWindowS", "10"),
+        ("Bounds.RetrySlack", "58"),
+    ];
+    values.iter().fold(text.to_owned(), |text, (name, value)| {
+        text.replace(&format!("{{{{{name}}}}}"), value)
+    })
+}
+
+/// Guards against times that are read in the wrong unit: a grace of 8 ms cut every request of a
+/// planned stop.
+#[test]
+fn the_deployment_template_gives_the_bounds_in_their_units() {
+    let text = filled_template();
+    assert!(!text.contains("{{"), "a placeholder without a value: {text}");
+    let setting: ForwardSetting = text.parse().expect("the template is valid");
+    assert_eq!(setting.bounds.grace, Duration::from_secs(8));
+    assert_eq!(setting.bounds.retry_window, Duration::from_secs(10));
+    assert_eq!((setting.bounds.retry_ratio, setting.bounds.retry_slack), (0.2, 58.0));
+    assert_eq!(setting.peer_listen.to_string(), "10.1.0.40:7340");
+    let halves = text.replace("grace_s = 8", "grace_s = 7.5");
+    let setting: ForwardSetting = halves.parse().expect("fractions are valid");
+    assert_eq!(setting.bounds.grace, Duration::from_millis(7_500));
+}
+
+/// Guards against settings whose mistakes show one at a time.
+#[test]
+fn all_mistakes_are_in_one_report() {
+    let text = "[router]\nvm = a\nlisen = 1.2.3.4:5\nlisten = here\nreadiness = 1.2.3.4:6\n\
+                [store]\naddress = x\n[bounds]\nretry_ratio = -1\ngrace_s = soon\n[log]\nformat = xml\n";
+    let report = text.parse::<ForwardSetting>().expect_err("the settings are wrong");
+    insta::assert_snapshot!(report);
+}
