--- a/crates/forward/src/book.rs
+++ b/crates/forward/src/book.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     contact::{ContactMode, StoreLink},
-    total::{SPEND_TABLE, TotalAccount},
+    total::{AccountUse, SPEND_TABLE, TotalAccount},
 };
 
 /// Part of the remaining tokens that all routers together hold at most. It covers outages of the
@@ -133,6 +133,8 @@
     pending_limit: Option<Tokens>,
     /// Tokens given to peers.
     given: Tokens,
+    /// Tokens received from peers.
+    received: Tokens,
     refilling: bool,
     /// Why the pool had too few tokens, and until when it is not asked again.
     drained: Option<(Instant, BudgetShortage)>,
@@ -272,7 +274,7 @@
         if shortage != BudgetShortage::Spent {
             let missing = amount.saturating_sub(self.spendable(customer));
             let given = self.peers.ask(customer, missing).await;
-            self.ledger().credit(customer, given);
+            self.receive(customer, given);
             tracing::info!(%request, %customer, missing, given, ?shortage, "asked peers for tokens");
         }
         self.try_hold(&tab, request, amount).ok_or(shortage)
@@ -363,6 +365,8 @@
 
     /// Adds tokens that a peer hands over.
     pub fn receive(&self, customer: &CustomerId, tokens: Tokens) {
+        let tab = self.tab(customer);
+        tab.demand().received += tokens;
         self.ledger().credit(customer, tokens);
     }
 
@@ -534,7 +538,12 @@
             let room = expected.max(spendable / OPEN_FLOOR).max(amount);
             let room = room.min(spendable);
             let limit = self.consumed(tab) + room;
-            let Some(change) = account.change(prepaid, take, charged, limit - charged) else {
+            let usage = AccountUse {
+                charged,
+                received: tab.demand().received,
+                open: limit - charged,
+            };
+            let Some(change) = account.change(prepaid, take, usage) else {
                 return Ok(());
             };
             let (inherited, stranded) = (account.inheritance(), account.stranded());
--- a/crates/forward/src/total.rs
+++ b/crates/forward/src/total.rs
@@ -32,6 +32,9 @@
     pub boot: BootId,
     /// Tokens drawn from the total.
     pub granted: Tokens,
+    /// Tokens that peers gave; the giver counts them as consumed.
+    #[serde(default)]
+    pub received: Tokens,
     /// Tokens returned to the total.
     pub returned: Tokens,
     /// Tokens consumed by requests or given to peers, as of the last write.
@@ -45,7 +48,7 @@
 impl GrantEntry {
     /// Tokens that the run may still spend, as of the last write.
     pub fn unspent(&self) -> Tokens {
-        self.granted.saturating_sub(self.returned + self.charged)
+        (self.granted + self.received).saturating_sub(self.returned + self.charged)
     }
 
     /// Tokens that the run surely has not consumed if it ended in contact with the store.
@@ -61,6 +64,17 @@
     row: T,
 }
 
+/// Use of an account that its next write names.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AccountUse {
+    /// Tokens consumed by requests or given to peers so far.
+    pub charged: Tokens,
+    /// Tokens received from peers so far.
+    pub received: Tokens,
+    /// Tokens that are open beyond `charged`.
+    pub open: Tokens,
+}
+
 /// Transaction that changes an account.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AccountChange {
@@ -182,8 +196,7 @@
         &self,
         prepaid: Tokens,
         take: Tokens,
-        charged: Tokens,
-        open: Tokens,
+        usage: AccountUse,
     ) -> Option<AccountChange> {
         let before = self.own_entry();
         let owed = self.owes();
@@ -191,8 +204,9 @@
             boot: self.boot,
             granted: before.granted + take + self.inheritance(),
             returned: before.returned + owed,
-            charged,
-            open,
+            received: usage.received,
+            charged: usage.charged,
+            open: usage.open,
         };
         let drawn = self
             .pool
--- a/crates/forward/tests/budget.rs
+++ b/crates/forward/tests/budget.rs
@@ -230,3 +230,39 @@
         .await;
     assert!(held.is_err());
 }
+
+/// Guards against tokens of peers that are lost with their receiver: after a crash, the successor
+/// takes over what the run received as well.
+#[tokio::test]
+async fn a_successor_takes_over_tokens_of_peers() {
+    let rows = MemoryRows::new();
+    let giver = book(&rows, "vm-1", 1, PredecessorEnd::Unknown);
+    let receiver = book(&rows, "vm-2", 2, PredecessorEnd::Unknown);
+    for one in [&giver, &receiver] {
+        one.set_holders(4);
+        let held = one
+            .hold(&"request".into(), &customer(), 80_000, 100, soon())
+            .await;
+        held.expect("the total covers the request").set_charge(100);
+    }
+    let given = giver.give(&customer(), 800);
+    assert!(given > 0);
+    receiver.receive(&customer(), given);
+    let before = receiver.spendable(&customer());
+    let all = receiver
+        .hold(&"all".into(), &customer(), 80_000, before, soon())
+        .await;
+    drop(all);
+    let left = grant(&rows, "vm-2");
+    assert_eq!(left["received"].as_u64(), Some(given));
+
+    let successor = book(&rows, "vm-2", 3, PredecessorEnd::Attached(2));
+    successor.set_holders(4);
+    let held = successor
+        .hold(&"next".into(), &customer(), 80_000, 10, soon())
+        .await;
+    assert!(held.is_ok());
+    let unspent = left["granted"].as_u64().unwrap() + given - left["charged"].as_u64().unwrap();
+    let open = left["open"].as_u64().unwrap();
+    assert!(successor.spendable(&customer()) + 10 >= unspent - open);
+}
