Split the book, the engine and the peers by their jobs

Change: tab (state of one customer), attempt (a request at endpoints), whole (answers that are not streams) and group (other routers) are modules of their own; peer keeps the calls between routers. Conclusion: no behaviour changes.

--- /dev/null
+++ b/crates/forward/src/attempt.rs
@@ -0,0 +1,127 @@
+use std::{net::SocketAddr, sync::Arc, time::Instant};
+
+use {
+    http::StatusCode,
+    jasminewall_core::{CustomerId, EndpointId, Tokens},
+};
+
+use crate::{
+    board::Flight,
+    book::BudgetHold,
+    engine::{ANSWER_GRACE, ForwardEngine},
+    port::EndpointAnswer,
+    record::{RouteRule, ServiceId},
+    request::{ForwardRequest, RefusalKind},
+};
+
+/// Wait for the first answer to a repeatable request, in multiples of the aim of its route.
+const FIRST_ANSWER_AIMS: u32 = 2;
+
+/// Request that was admitted.
+pub(crate) struct AdmittedRequest {
+    pub(crate) request: ForwardRequest,
+    pub(crate) route: RouteRule,
+    pub(crate) service: ServiceId,
+    pub(crate) customer: Option<CustomerId>,
+    pub(crate) deadline: Instant,
+    pub(crate) event_tokens: Tokens,
+    pub(crate) hold: Option<BudgetHold>,
+    pub(crate) priority: Option<u8>,
+    /// Recognises the request when it is sent again under another id.
+    pub(crate) fingerprint: u64,
+    pub(crate) sends: u32,
+    pub(crate) connects: u32,
+    pub(crate) runs: u32,
+    pub(crate) avoid: Vec<EndpointId>,
+}
+
+impl AdmittedRequest {
+    pub(crate) fn may_run_again(&self) -> bool {
+        self.runs == 0 || (self.route.repeat.may_repeat() && self.runs < self.route.attempts)
+    }
+
+    pub(crate) fn input(&self) -> Tokens {
+        self.request
+            .prompt
+            .as_ref()
+            .map_or(0, |prompt| prompt.input)
+    }
+}
+
+/// Request at an endpoint; ends its flight on the board when it is dropped.
+pub(crate) struct OpenFlight {
+    pub(crate) engine: Arc<ForwardEngine>,
+    pub(crate) flight: Flight,
+    pub(crate) address: SocketAddr,
+    pub(crate) failed: bool,
+}
+
+impl OpenFlight {
+    pub(crate) fn endpoint(&self) -> &EndpointId {
+        self.flight.endpoint()
+    }
+
+    pub(crate) fn fail(&mut self) {
+        self.failed = true;
+    }
+
+    /// Notes that the endpoint closed the connection within its answer.
+    pub(crate) fn break_off(&mut self, fingerprint: u64) {
+        self.failed = true;
+        self.engine
+            .check_crash(fingerprint, self.flight.endpoint(), self.address);
+    }
+
+    pub(crate) fn answered(&mut self) {
+        let mut board = self.engine.board();
+        board.answered(&mut self.flight, None, Instant::now());
+        self.engine.load_changed.notify_one();
+    }
+}
+
+impl Drop for OpenFlight {
+    fn drop(&mut self) {
+        let mut board = self.engine.board();
+        board.finish(&self.flight, self.failed, Instant::now());
+        self.engine.load_changed.notify_one();
+    }
+}
+
+/// Answer of an endpoint that goes to the caller.
+pub(crate) struct OpenAnswer {
+    pub(crate) answer: EndpointAnswer,
+    pub(crate) flight: OpenFlight,
+}
+
+/// When a call without an answer is given up.
+pub(crate) fn answer_limit(admitted: &AdmittedRequest) -> Instant {
+    let last = admitted.deadline + ANSWER_GRACE;
+    let repeat = admitted.route.repeat.may_repeat() && admitted.runs + 1 < admitted.route.attempts;
+    if !repeat {
+        return last;
+    }
+    let aim = admitted.route.target_latency * FIRST_ANSWER_AIMS;
+    last.min(Instant::now() + aim)
+}
+
+/// Whether an answer may go to the caller: signed, or a failure that promises nothing.
+pub(crate) fn is_usable(answer: &EndpointAnswer) -> bool {
+    let promises = matches!(
+        answer.status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    );
+    answer.authentic && !promises
+}
+
+/// A request that may have run is never refused as one that has not.
+pub(crate) fn refusal_of(admitted: &AdmittedRequest, kind: RefusalKind) -> RefusalKind {
+    match kind {
+        RefusalKind::NoEndpoint | RefusalKind::DeadlinePassed if admitted.runs > 0 => {
+            RefusalKind::Lost
+        }
+        kind => kind,
+    }
+}
--- a/crates/forward/src/book.rs
+++ b/crates/forward/src/book.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     contact::{ContactMode, StoreLink},
+    tab::SpendTab,
     total::{AccountUse, SPEND_TABLE, TotalAccount},
 };
 
@@ -31,11 +32,6 @@
 const OPEN_COVER: Duration = Duration::from_millis(1_300);
 /// Smallest open part of a grant, as a divisor, for customers without recent demand.
 const OPEN_FLOOR: Tokens = 16;
-/// Part of the open tokens that must be left before the account is written again, as a divisor; an
-/// outage may begin at any moment between two writes.
-const OPEN_LEFT: Tokens = 2;
-/// Time constant of the demand of a customer; short enough to follow a swing within seconds.
-const DEMAND_WINDOW: Duration = Duration::from_secs(5);
 /// Changes that one request waits for when others use up what is open.
 const OPEN_TRIES: u32 = 3;
 /// Customers up to which every router draws a grant before it sees a request, so that an outage
@@ -112,62 +108,6 @@
     Unknown,
 }
 
-/// State of one customer. Lock order: `account`, then the ledger, then `demand`.
-struct SpendTab {
-    customer: CustomerId,
-    account: AsyncMutex<TotalAccount>,
-    demand: Mutex<TabDemand>,
-}
-
-#[derive(Default)]
-struct TabDemand {
-    prepaid: Tokens,
-    /// Spendable tokens below which the grant is refilled; `None` before the first grant.
-    refill_below: Option<Tokens>,
-    /// Room below which the account is written again.
-    write_below: Tokens,
-    rate: DemandRate,
-    /// Consumption up to which the stored account allows; see [`StoreLink`].
-    limit: Tokens,
-    /// Limit of a change that may have landed.
-    pending_limit: Option<Tokens>,
-    /// Tokens given to peers.
-    given: Tokens,
-    /// Tokens received from peers.
-    received: Tokens,
-    refilling: bool,
-    /// Why the pool had too few tokens, and until when it is not asked again.
-    drained: Option<(Instant, BudgetShortage)>,
-    /// Set when a peer ran short, so that the pool may have fewer tokens than known here.
-    stale: bool,
-}
-
-/// Moving rate of the tokens that a customer's requests ask for.
-#[derive(Clone, Copy, Debug, Default)]
-struct DemandRate {
-    per_second: f64,
-    updated: Option<Instant>,
-}
-
-impl DemandRate {
-    fn add(&mut self, tokens: Tokens, now: Instant) {
-        self.per_second = self.at(now) + tokens as f64 / DEMAND_WINDOW.as_secs_f64();
-        self.updated = Some(now);
-    }
-
-    fn at(&self, now: Instant) -> f64 {
-        let Some(updated) = self.updated else {
-            return 0.0;
-        };
-        let passed = now.saturating_duration_since(updated).as_secs_f64();
-        self.per_second * (-passed / DEMAND_WINDOW.as_secs_f64()).exp()
-    }
-
-    fn expect(&self, time: Duration, now: Instant) -> Tokens {
-        (self.at(now) * time.as_secs_f64()) as Tokens
-    }
-}
-
 /// Hold of one request; settled when it is dropped.
 pub struct BudgetHold {
     book: Arc<SpendBook>,
@@ -674,37 +614,3 @@
         self.tabs.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-impl TabDemand {
-    /// Consumption that is allowed whether or not the last change landed.
-    fn limit(&self) -> Tokens {
-        let pending = self.pending_limit.unwrap_or(Tokens::MAX);
-        self.limit.min(pending)
-    }
-
-    fn expect_limit(&mut self, limit: Tokens) {
-        let pending = self.pending_limit.unwrap_or(Tokens::MAX);
-        self.pending_limit = Some(limit.min(pending));
-    }
-
-    fn set_limit(&mut self, limit: Tokens, room: Tokens) {
-        self.limit = limit;
-        self.write_below = room / OPEN_LEFT;
-        self.pending_limit = None;
-    }
-}
-
-impl SpendTab {
-    /// Takes in a total, which only rises.
-    fn raise(&self, prepaid: Tokens) {
-        let mut demand = self.demand();
-        if prepaid > demand.prepaid {
-            demand.prepaid = prepaid;
-            demand.drained = None;
-        }
-    }
-
-    fn demand(&self) -> MutexGuard<'_, TabDemand> {
-        self.demand.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
--- a/crates/forward/src/engine.rs
+++ b/crates/forward/src/engine.rs
@@ -9,10 +9,9 @@
 };
 
 use {
-    futures_util::StreamExt,
     http::StatusCode,
     jasminewall_core::{
-        CustomerId, DomainId, EndpointId, HolderId, Tokens, VmId,
+        DomainId, EndpointId, HolderId, VmId,
         suspect::{self, CrashCount, SuspectTable, SuspectVerdict},
     },
     smol_str::SmolStr,
@@ -20,13 +19,14 @@
 };
 
 use crate::{
-    board::{EndpointBoard, Flight, LoadShare, PlacementNeed},
-    book::{BudgetHold, BudgetShortage, SpendBook},
+    attempt::{AdmittedRequest, OpenAnswer, OpenFlight, answer_limit, is_usable, refusal_of},
+    board::{EndpointBoard, LoadShare, PlacementNeed},
+    book::{BudgetShortage, SpendBook},
     fleet::FleetView,
     metric::ForwardMetrics,
     port::{CallError, EndpointAnswer, EndpointCall, EndpointPort},
-    record::{FleetConfig, RepeatRule, RouteRule, ServiceId},
-    request::{AnswerBody, BrokenAnswer, ForwardAnswer, ForwardRequest, RefusalKind},
+    record::{FleetConfig, RepeatRule, ServiceId},
+    request::{ForwardAnswer, ForwardRequest, RefusalKind},
     retry::RetryWindow,
     setting::FleetBounds,
     stream::StreamRelay,
@@ -36,16 +36,11 @@
 /// are worth less to the caller.
 const HOLD_WAIT: Duration = Duration::from_millis(400);
 /// Time after the deadline in which an endpoint's own answer may still arrive.
-const ANSWER_GRACE: Duration = Duration::from_millis(100);
+pub(crate) const ANSWER_GRACE: Duration = Duration::from_millis(100);
 /// Sends of one request, with those that endpoints rejected.
 const SEND_LIMIT: u32 = 4;
 /// Connection failures that one request passes over.
 const CONNECT_LIMIT: u32 = 6;
-/// Whole answers up to this size are read before any of it is passed on, so that a request may be
-/// repeated when an answer breaks off, in bytes.
-const WHOLE_LIMIT: usize = 256 << 10;
-/// Wait for the first answer to a repeatable request, in multiples of the aim of its route.
-const FIRST_ANSWER_AIMS: u32 = 2;
 /// Time after a broken connection in which the port of a crashed endpoint closes.
 const CRASH_SETTLE: Duration = Duration::from_millis(50);
 /// Shortest advice to come back later; endpoints free slots within this time.
@@ -78,82 +73,6 @@
     pub exit_at: Instant,
 }
 
-/// Request that was admitted.
-pub(crate) struct AdmittedRequest {
-    pub(crate) request: ForwardRequest,
-    pub(crate) route: RouteRule,
-    pub(crate) service: ServiceId,
-    pub(crate) customer: Option<CustomerId>,
-    pub(crate) deadline: Instant,
-    pub(crate) event_tokens: Tokens,
-    pub(crate) hold: Option<BudgetHold>,
-    priority: Option<u8>,
-    /// Recognises the request when it is sent again under another id.
-    pub(crate) fingerprint: u64,
-    sends: u32,
-    connects: u32,
-    runs: u32,
-    avoid: Vec<EndpointId>,
-}
-
-impl AdmittedRequest {
-    fn may_run_again(&self) -> bool {
-        self.runs == 0 || (self.route.repeat.may_repeat() && self.runs < self.route.attempts)
-    }
-
-    fn input(&self) -> Tokens {
-        self.request
-            .prompt
-            .as_ref()
-            .map_or(0, |prompt| prompt.input)
-    }
-}
-
-/// Request at an endpoint; ends its flight on the board when it is dropped.
-pub(crate) struct OpenFlight {
-    engine: Arc<ForwardEngine>,
-    flight: Flight,
-    address: SocketAddr,
-    failed: bool,
-}
-
-impl OpenFlight {
-    pub(crate) fn endpoint(&self) -> &EndpointId {
-        self.flight.endpoint()
-    }
-
-    pub(crate) fn fail(&mut self) {
-        self.failed = true;
-    }
-
-    /// Notes that the endpoint closed the connection within its answer.
-    pub(crate) fn break_off(&mut self, fingerprint: u64) {
-        self.failed = true;
-        self.engine
-            .check_crash(fingerprint, self.flight.endpoint(), self.address);
-    }
-
-    pub(crate) fn answered(&mut self) {
-        let mut board = self.engine.board();
-        board.answered(&mut self.flight, None, Instant::now());
-        self.engine.load_changed.notify_one();
-    }
-}
-
-impl Drop for OpenFlight {
-    fn drop(&mut self) {
-        let mut board = self.engine.board();
-        board.finish(&self.flight, self.failed, Instant::now());
-        self.engine.load_changed.notify_one();
-    }
-}
-
-/// Answer of an endpoint that goes to the caller.
-pub(crate) struct OpenAnswer {
-    pub(crate) answer: EndpointAnswer,
-    pub(crate) flight: OpenFlight,
-}
-
 impl ForwardEngine {
     /// Builds an engine over its ports.
     pub fn new(
@@ -550,56 +469,8 @@
         }
     }
 
-    async fn relay_whole(
-        self: &Arc<Self>,
-        mut admitted: AdmittedRequest,
-        mut open: OpenAnswer,
-    ) -> Result<ForwardAnswer, RefusalKind> {
-        loop {
-            let limit = (admitted.deadline + ANSWER_GRACE).into();
-            let EndpointAnswer {
-                status,
-                headers,
-                length,
-                body,
-                ..
-            } = open.answer;
-            let read = timeout_at(limit, read_whole(body)).await;
-            let reason = match read {
-                Ok(Ok((bytes, rest))) => {
-                    self.clear_suspect(admitted.fingerprint);
-                    let taken_ms = admitted.request.arrived.elapsed().as_millis();
-                    tracing::info!(request = %admitted.request.id, endpoint = %open.flight.endpoint(), %status, %taken_ms, "answered");
-                    self.metrics
-                        .answered(&admitted.route.name, status, admitted.request.arrived);
-                    return Ok(ForwardAnswer::Relayed {
-                        status,
-                        headers,
-                        length,
-                        body: whole_body(bytes, rest, admitted, open.flight),
-                    });
-                }
-                Ok(Err(error)) => {
-                    open.flight.break_off(admitted.fingerprint);
-                    error.to_string()
-                }
-                Err(_) => {
-                    open.flight.fail();
-                    "the answer did not end in time".to_owned()
-                }
-            };
-            tracing::info!(request = %admitted.request.id, endpoint = %open.flight.endpoint(), reason, "the answer broke off");
-            drop(open.flight);
-            let over = Instant::now() >= admitted.deadline;
-            if over || !admitted.may_run_again() || !self.may_send_again(&admitted) {
-                return Err(RefusalKind::Lost);
-            }
-            open = self.send(&mut admitted, None).await?;
-        }
-    }
-
     /// Takes a repeat from the budget of the service.
-    fn may_send_again(&self, admitted: &AdmittedRequest) -> bool {
+    pub(crate) fn may_send_again(&self, admitted: &AdmittedRequest) -> bool {
         if admitted.sends >= SEND_LIMIT {
             return false;
         }
@@ -633,7 +504,7 @@
         act(window)
     }
 
-    fn board(&self) -> MutexGuard<'_, EndpointBoard> {
+    pub(crate) fn board(&self) -> MutexGuard<'_, EndpointBoard> {
         self.board.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -641,78 +512,3 @@
         self.windows.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// When a call without an answer is given up.
-fn answer_limit(admitted: &AdmittedRequest) -> Instant {
-    let last = admitted.deadline + ANSWER_GRACE;
-    let repeat = admitted.route.repeat.may_repeat() && admitted.runs + 1 < admitted.route.attempts;
-    if !repeat {
-        return last;
-    }
-    let aim = admitted.route.target_latency * FIRST_ANSWER_AIMS;
-    last.min(Instant::now() + aim)
-}
-
-/// Whether an answer may go to the caller: signed, or a failure that promises nothing.
-fn is_usable(answer: &EndpointAnswer) -> bool {
-    let promises = matches!(
-        answer.status,
-        StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-    );
-    answer.authentic && !promises
-}
-
-/// A request that may have run is never refused as one that has not.
-fn refusal_of(admitted: &AdmittedRequest, kind: RefusalKind) -> RefusalKind {
-    match kind {
-        RefusalKind::NoEndpoint | RefusalKind::DeadlinePassed if admitted.runs > 0 => {
-            RefusalKind::Lost
-        }
-        kind => kind,
-    }
-}
-
-type WholeRead = (Vec<bytes::Bytes>, Option<crate::port::EndpointBody>);
-
-async fn read_whole(mut body: crate::port::EndpointBody) -> Result<WholeRead, CallError> {
-    let mut parts = Vec::new();
-    let mut size = 0;
-    while let Some(part) = body.next().await {
-        let part = part?;
-        size += part.len();
-        parts.push(part);
-        if size > WHOLE_LIMIT {
-            return Ok((parts, Some(body)));
-        }
-    }
-    Ok((parts, None))
-}
-
-/// Body of an answer that was read, with the rest of a large one; keeps the flight until its end.
-fn whole_body(
-    parts: Vec<bytes::Bytes>,
-    rest: Option<crate::port::EndpointBody>,
-    admitted: AdmittedRequest,
-    mut flight: OpenFlight,
-) -> AnswerBody {
-    Box::pin(async_stream::stream! {
-        let _admitted = admitted;
-        for part in parts {
-            yield Ok(part);
-        }
-        let Some(mut rest) = rest else { return };
-        while let Some(part) = rest.next().await {
-            match part {
-                Ok(part) => yield Ok(part),
-                Err(error) => {
-                    flight.fail();
-                    yield Err(BrokenAnswer(error.to_string().into()));
-                    return;
-                }
-            }
-        }
-    })
-}
--- /dev/null
+++ b/crates/forward/src/group.rs
@@ -0,0 +1,454 @@
+//! Other routers as registered in the store, and what this router exchanges with them.
+
+use std::{
+    collections::HashMap,
+    future::Future,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
+    time::{Duration, Instant},
+};
+
+use {
+    bytes::Bytes,
+    jasminewall_core::{CustomerId, Tokens, VmId},
+    jasminewall_ports::{Category, RowKey, RowPort, RowReply, RowTransaction, RowUpdate},
+    rand::seq::IndexedRandom,
+    tarpc::{client, context, tokio_serde::formats::Bincode},
+    tokio::time::{timeout, timeout_at},
+    xxhash_rust::xxh3::xxh3_64_with_seed,
+};
+
+use crate::{
+    book::{PredecessorEnd, SpendBook, TokenPeers},
+    contact::{ContactMode, StoreLink},
+    engine::ForwardEngine,
+    fleet::FleetView,
+    peer::{CrashRecord, PEER_TIMEOUT, PeerRecord, RouterPeerClient},
+};
+
+/// Table in which routers register.
+const PEER_TABLE: &str = "router";
+/// Time between two reads of the registered routers.
+const PEER_INTERVAL: Duration = Duration::from_secs(5);
+/// Time between two reads after the start, while others may start as well.
+const START_INTERVAL: Duration = Duration::from_millis(750);
+/// Time after the start in which the routers are read more often.
+const START_TIME: Duration = Duration::from_secs(6);
+/// Time between two questions to peers while the store does not answer; four fit into the two
+/// seconds in which a configuration must be in force.
+const NEWS_INTERVAL: Duration = Duration::from_millis(500);
+/// Peers asked for newer state, so that the cost of a question does not grow with the fleet.
+const NEWS_PEERS: usize = 3;
+/// Peers asked for tokens, one after the other until there are enough.
+const TOKEN_PEERS: usize = 8;
+/// Routers that exchange loads with one router.
+const NEIGHBOURS: usize = 24;
+/// Time in which changes of the load are put into one message; short against the time that an
+/// engine takes to read a prompt.
+const SHARE_PAUSE: Duration = Duration::from_millis(8);
+/// Time after which loads are repeated.
+const SHARE_INTERVAL: Duration = Duration::from_secs(1);
+/// Peers to which a connection is tried before tokens are left behind at a stop.
+const DEPOSIT_PEERS: usize = 3;
+/// Time in which a peer that did not answer is not asked again.
+const SILENT_PAUSE: Duration = Duration::from_secs(2);
+
+/// Other routers, as registered in the store.
+pub(crate) struct PeerGroup {
+    vm: VmId,
+    record: PeerRecord,
+    rows: Arc<dyn RowPort>,
+    peers: Mutex<HashMap<VmId, PeerLink>>,
+}
+
+struct PeerLink {
+    record: PeerRecord,
+    client: Option<RouterPeerClient>,
+    /// End of the time in which a peer that did not answer is left out.
+    silent_until: Option<Instant>,
+}
+
+/// Peer that may be asked, with its open connection if there is one.
+struct PeerTarget {
+    vm: VmId,
+    address: SocketAddr,
+    client: Option<RouterPeerClient>,
+}
+
+impl PeerGroup {
+    /// Starts without knowledge of other routers.
+    pub(crate) fn new(vm: VmId, record: PeerRecord, rows: Arc<dyn RowPort>) -> Arc<Self> {
+        Arc::new(Self {
+            vm,
+            record,
+            rows,
+            peers: Mutex::default(),
+        })
+    }
+
+    /// Writes the registration of this router with a heartbeat.
+    ///
+    /// # Errors
+    ///
+    /// When the store does not answer.
+    async fn beat(&self, book: &SpendBook) -> jasminewall_ports::Result<()> {
+        let now = Instant::now();
+        let seen_ms = book.link().clock(now).unwrap_or(0);
+        let detach_after = book.link().detach_after();
+        let record = PeerRecord {
+            seen_ms,
+            detach_ms: u64::try_from(detach_after.as_millis()).unwrap_or(u64::MAX),
+            ..self.record.clone()
+        };
+        // A record of plain fields always encodes.
+        let value = Bytes::from(serde_json::to_vec(&record).unwrap_or_default());
+        book.link().beat_sent(now);
+        let written = self.write(Some(value)).await;
+        let mut link = book.link();
+        match &written {
+            Ok(now_ms) => {
+                link.read_clock(*now_ms, Instant::now());
+                link.beat_landed();
+            }
+            Err(error) if error.category() == Category::Unavailable => link.beat_refused(),
+            Err(_) => link.beat_unknown(),
+        }
+        written.map(|_| ())
+    }
+
+    /// Removes the registration of this router.
+    ///
+    /// # Errors
+    ///
+    /// When the store does not answer.
+    pub(crate) async fn unregister(&self) -> jasminewall_ports::Result<()> {
+        self.write(None).await.map(|_| ())
+    }
+
+    async fn write(&self, value: Option<Bytes>) -> jasminewall_ports::Result<u64> {
+        let key = RowKey::new(PEER_TABLE, "", self.vm.clone());
+        let transaction = RowTransaction {
+            expect: Vec::new(),
+            updates: vec![RowUpdate { key, value }],
+        };
+        match self.rows.transact(transaction).await? {
+            RowReply::Committed { now_ms, .. } => Ok(now_ms),
+            RowReply::Conflict(_) => Err(jasminewall_ports::Error::new(
+                Category::Invalid,
+                "the store reported a conflict for a write without a condition",
+            )),
+        }
+    }
+
+    /// Reads the registered routers; says how many there are and how the run before this one ended.
+    ///
+    /// # Errors
+    ///
+    /// When the store does not answer.
+    async fn refresh(
+        &self,
+        book: &SpendBook,
+    ) -> jasminewall_ports::Result<(usize, PredecessorEnd)> {
+        let page = self.rows.read(PEER_TABLE, "").await?;
+        book.link().read_clock(page.now_ms, Instant::now());
+        let now_ms = page.now_ms;
+        let mut end = PredecessorEnd::Unknown;
+        let mut peers = self.peers();
+        let mut found = HashMap::new();
+        for row in page.rows {
+            let value = row.value.unwrap_or_default();
+            let record: PeerRecord = match serde_json::from_slice(&value) {
+                Ok(record) => record,
+                Err(error) => {
+                    tracing::warn!(vm = %row.key.key, %error, "the registration of a router cannot be read; it is left out");
+                    continue;
+                }
+            };
+            if row.key.key == self.vm {
+                if record.boot != self.record.boot
+                    && StoreLink::ended_attached(record.seen_ms, record.detach_ms, now_ms)
+                {
+                    end = PredecessorEnd::Attached(record.boot);
+                }
+                continue;
+            }
+            let known = peers.remove(&row.key.key);
+            let link = match known {
+                Some(link) if link.record.boot == record.boot => link,
+                _ => {
+                    tracing::info!(vm = %row.key.key, address = %record.address, "router registered");
+                    PeerLink {
+                        record,
+                        client: None,
+                        silent_until: None,
+                    }
+                }
+            };
+            found.insert(row.key.key, link);
+        }
+        *peers = found;
+        Ok((peers.len() + 1, end))
+    }
+
+    /// Some routers, drawn at random from those that answer.
+    fn draw(&self, most: usize) -> Vec<PeerTarget> {
+        let now = Instant::now();
+        let peers = self.peers();
+        let open = peers
+            .iter()
+            .filter(|(_, link)| link.silent_until.is_none_or(|until| until <= now));
+        let open: Vec<(&VmId, &PeerLink)> = open.collect();
+        let drawn = open.choose_multiple(&mut rand::rng(), most);
+        let targets = drawn.map(|(vm, link)| PeerTarget {
+            vm: (*vm).clone(),
+            address: link.record.address,
+            client: link.client.clone(),
+        });
+        targets.collect()
+    }
+
+    /// Routers that exchange loads with this one: all of a small fleet, otherwise some of the same
+    /// failure domain, so that the messages of one router stay bounded.
+    fn neighbours(&self) -> Vec<PeerTarget> {
+        let now = Instant::now();
+        let peers = self.peers();
+        let small = peers.len() < NEIGHBOURS;
+        let near = peers.iter().filter(|(_, link)| {
+            (small || link.record.domain == self.record.domain)
+                && link.silent_until.is_none_or(|until| until <= now)
+        });
+        let mut near: Vec<(&VmId, &PeerLink)> = near.collect();
+        near.sort_by_key(|(vm, _)| xxh3_64_with_seed(vm.as_bytes(), self.record.boot));
+        let near = near.into_iter().take(NEIGHBOURS);
+        let targets = near.map(|(vm, link)| PeerTarget {
+            vm: vm.clone(),
+            address: link.record.address,
+            client: link.client.clone(),
+        });
+        targets.collect()
+    }
+
+    /// Connection to a peer; opened if there is none.
+    async fn connect(&self, target: &PeerTarget) -> Option<RouterPeerClient> {
+        if let Some(client) = &target.client {
+            return Some(client.clone());
+        }
+        let transport = tarpc::serde_transport::tcp::connect(target.address, Bincode::default);
+        let Ok(Ok(transport)) = timeout(PEER_TIMEOUT, transport).await else {
+            self.note_silence(&target.vm);
+            return None;
+        };
+        let client = RouterPeerClient::new(client::Config::default(), transport).spawn();
+        if let Some(link) = self.peers().get_mut(&target.vm) {
+            link.client = Some(client.clone());
+        }
+        Some(client)
+    }
+
+    /// Closes the connection to a router that did not answer, and leaves it out for a while.
+    fn note_silence(&self, vm: &VmId) {
+        if let Some(link) = self.peers().get_mut(vm) {
+            tracing::info!(%vm, "a router does not answer");
+            link.client = None;
+            link.silent_until = Some(Instant::now() + SILENT_PAUSE);
+        }
+    }
+
+    /// Asks some routers for state that is newer.
+    pub(crate) async fn ask_news(&self, view: &FleetView) {
+        for target in self.draw(NEWS_PEERS) {
+            let Some(client) = self.connect(&target).await else {
+                continue;
+            };
+            let versions = (view.config_version(), view.endpoint_version());
+            let asked = client.news(deadline(), versions.0, versions.1);
+            match timeout(PEER_TIMEOUT, asked).await {
+                Ok(Ok(news)) => {
+                    if let Some(config) = news.config {
+                        view.install(config, "peer");
+                    }
+                    if let Some((version, records)) = news.endpoints {
+                        view.adopt_endpoints(version, records, Instant::now());
+                    }
+                }
+                _ => self.note_silence(&target.vm),
+            }
+        }
+    }
+
+    fn peers(&self) -> MutexGuard<'_, HashMap<VmId, PeerLink>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl TokenPeers for PeerGroup {
+    fn ask<'a>(
+        &'a self,
+        customer: &'a CustomerId,
+        wanted: Tokens,
+    ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>> {
+        Box::pin(async move {
+            let mut total = 0;
+            for target in self.draw(TOKEN_PEERS) {
+                if total >= wanted {
+                    break;
+                }
+                let Some(client) = self.connect(&target).await else {
+                    continue;
+                };
+                let given = client.give(deadline(), customer.clone(), wanted - total);
+                // Tokens whose answer is lost stay out of use, which is safe.
+                match timeout(PEER_TIMEOUT, given).await {
+                    Ok(Ok(given)) => total += given,
+                    _ => self.note_silence(&target.vm),
+                }
+            }
+            total
+        })
+    }
+
+    fn deposit<'a>(
+        &'a self,
+        customer: &'a CustomerId,
+        tokens: Tokens,
+    ) -> Pin<Box<dyn Future<Output = bool> + Send + 'a>> {
+        Box::pin(async move {
+            for target in self.draw(DEPOSIT_PEERS) {
+                let Some(client) = self.connect(&target).await else {
+                    continue;
+                };
+                let taken = client.deposit(deadline(), customer.clone(), tokens);
+                let taken = timeout(PEER_TIMEOUT, taken).await;
+                // Without an answer the tokens may have arrived; they are not handed over twice.
+                return matches!(taken, Ok(Ok(())));
+            }
+            false
+        })
+    }
+}
+
+fn deadline() -> context::Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + PEER_TIMEOUT;
+    context
+}
+
+/// Keeps the heartbeat and the list of routers fresh; `notify` gets the number of routers.
+pub(crate) async fn follow_peers(
+    group: Arc<PeerGroup>,
+    book: Arc<SpendBook>,
+    notify: impl Fn(usize),
+) {
+    let mut decided = false;
+    let mut refresh_at = Instant::now();
+    let settled_at = refresh_at + START_TIME;
+    loop {
+        let now = Instant::now();
+        let detached = book.link().mode(now) == ContactMode::Detached;
+        if now >= refresh_at || detached {
+            match group.refresh(&book).await {
+                Ok((routers, end)) => {
+                    book.link().set_routers(routers);
+                    notify(routers);
+                    let starting = now < settled_at;
+                    refresh_at = now
+                        + if starting {
+                            START_INTERVAL
+                        } else {
+                            PEER_INTERVAL
+                        };
+                    if !decided {
+                        tracing::info!(?end, routers, "run before this one");
+                        book.set_predecessor(end);
+                        decided = true;
+                    }
+                    if detached {
+                        attach_again(&group, &book).await;
+                    }
+                }
+                Err(error) => tracing::debug!(%error, "the routers could not be read"),
+            }
+        }
+        let may_beat = decided && book.link().may_beat(Instant::now());
+        if may_beat && let Err(error) = group.beat(&book).await {
+            tracing::warn!(%error, "the heartbeat was not written");
+        }
+        let interval = book.link().interval();
+        tokio::time::sleep(interval).await;
+    }
+}
+
+/// Returns to open tokens after an outage: first all accounts are written, then the heartbeat.
+async fn attach_again(group: &PeerGroup, book: &SpendBook) {
+    book.link().begin_attach();
+    if !book.write_overdrawn().await {
+        book.link().cancel_attach();
+        return;
+    }
+    match group.beat(book).await {
+        Ok(()) => tracing::info!("attached to the store again"),
+        Err(error) => tracing::warn!(%error, "the heartbeat was not written; still detached"),
+    }
+}
+
+/// Tells other routers the own load whenever it changes.
+pub(crate) async fn share_loads(group: Arc<PeerGroup>, engine: Arc<ForwardEngine>) {
+    let mut number = 0;
+    let mut repeat_at = Instant::now() + SHARE_INTERVAL;
+    loop {
+        let changed = engine.load_changed.notified();
+        let repeat = timeout_at(repeat_at.into(), changed).await.is_err();
+        if repeat {
+            repeat_at = Instant::now() + SHARE_INTERVAL;
+        } else {
+            tokio::time::sleep(SHARE_PAUSE).await;
+        }
+        let shares = engine.take_shares(repeat);
+        if shares.is_empty() {
+            continue;
+        }
+        number += 1;
+        for target in group.neighbours() {
+            let (group, shares) = (group.clone(), shares.clone());
+            tokio::spawn(async move {
+                let Some(client) = group.connect(&target).await else {
+                    return;
+                };
+                let told = client.loads(deadline(), group.vm.clone(), number, shares);
+                if !matches!(timeout(PEER_TIMEOUT, told).await, Ok(Ok(()))) {
+                    group.note_silence(&target.vm);
+                }
+            });
+        }
+    }
+}
+
+/// Tells other routers which requests crashed endpoints.
+pub(crate) async fn share_crashes(group: Arc<PeerGroup>, engine: Arc<ForwardEngine>) {
+    loop {
+        engine.crash_noted.notified().await;
+        let counts = engine.take_crashes().into_iter().map(CrashRecord::from);
+        let counts: Vec<CrashRecord> = counts.collect();
+        for target in group.neighbours() {
+            let Some(client) = group.connect(&target).await else {
+                continue;
+            };
+            let told = client.crashes(deadline(), counts.clone());
+            if !matches!(timeout(PEER_TIMEOUT, told).await, Ok(Ok(()))) {
+                group.note_silence(&target.vm);
+            }
+        }
+    }
+}
+
+/// Asks peers for newer state while the store does not answer.
+pub(crate) async fn follow_news(group: Weak<PeerGroup>, view: Arc<FleetView>) {
+    loop {
+        tokio::time::sleep(NEWS_INTERVAL).await;
+        let Some(group) = group.upgrade() else { return };
+        if view.is_store_away() || !view.is_ready() {
+            group.ask_news(&view).await;
+        }
+    }
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -14,12 +14,14 @@
 //! assert!(!window.withdraw(now), "no request has earned another one");
 //! ```
 
+mod attempt;
 mod board;
 mod book;
 pub mod contact;
 mod engine;
 mod fleet;
 mod follow;
+mod group;
 mod metric;
 mod node;
 pub mod peer;
@@ -30,7 +32,9 @@
 pub mod setting;
 mod sse;
 mod stream;
+mod tab;
 pub mod total;
+mod whole;
 
 pub use crate::{
     board::{EndpointBoard, LoadShare, Placement, PlacementNeed},
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -17,7 +17,8 @@
     engine::{ForwardEngine, StopWindow},
     fleet::FleetView,
     follow,
-    peer::{self, PeerGroup, PeerRecord},
+    group::{self, PeerGroup},
+    peer::{self, PeerRecord},
     port::{EndpointPort, RecordPort},
     setting::{FleetBounds, ForwardSetting},
 };
@@ -102,11 +103,11 @@
         let tasks = vec![
             spawn(follow::follow_config(view.clone(), ports.records.clone())).abort_handle(),
             spawn(follow::follow_endpoints(view.clone(), ports.records)).abort_handle(),
-            spawn(peer::follow_peers(peers.clone(), book.clone(), notify)).abort_handle(),
-            spawn(peer::follow_news(Arc::downgrade(&peers), view.clone())).abort_handle(),
+            spawn(group::follow_peers(peers.clone(), book.clone(), notify)).abort_handle(),
+            spawn(group::follow_news(Arc::downgrade(&peers), view.clone())).abort_handle(),
             spawn(book.clone().rebalance(totals)).abort_handle(),
-            spawn(peer::share_loads(peers.clone(), engine.clone())).abort_handle(),
-            spawn(peer::share_crashes(peers.clone(), engine.clone())).abort_handle(),
+            spawn(group::share_loads(peers.clone(), engine.clone())).abort_handle(),
+            spawn(group::share_crashes(peers.clone(), engine.clone())).abort_handle(),
             spawn(forget_endpoints(engine.clone())).abort_handle(),
         ];
         Ok(Arc::new(Self {
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -6,7 +6,8 @@
 use {bytes::Bytes, futures_util::StreamExt, tokio::time::timeout_at};
 
 use crate::{
-    engine::{AdmittedRequest, ForwardEngine, OpenAnswer, OpenFlight},
+    attempt::{AdmittedRequest, OpenAnswer, OpenFlight},
+    engine::ForwardEngine,
     port::EndpointBody,
     record::RepeatRule,
     request::{AnswerBody, BrokenAnswer, ForwardAnswer},
--- /dev/null
+++ b/crates/forward/src/whole.rs
@@ -0,0 +1,107 @@
+use std::{sync::Arc, time::Instant};
+
+use {bytes::Bytes, futures_util::StreamExt, tokio::time::timeout_at};
+
+use crate::{
+    attempt::{AdmittedRequest, OpenAnswer, OpenFlight},
+    engine::{ANSWER_GRACE, ForwardEngine},
+    port::{CallError, EndpointAnswer, EndpointBody},
+    request::{AnswerBody, BrokenAnswer, ForwardAnswer, RefusalKind},
+};
+
+/// Whole answers up to this size are read before any of it is passed on, so that a request may be
+/// repeated when an answer breaks off, in bytes.
+const WHOLE_LIMIT: usize = 256 << 10;
+
+impl ForwardEngine {
+    /// Relays an answer that is not a stream, and repeats the request when it breaks off.
+    pub(crate) async fn relay_whole(
+        self: &Arc<Self>,
+        mut admitted: AdmittedRequest,
+        mut open: OpenAnswer,
+    ) -> Result<ForwardAnswer, RefusalKind> {
+        loop {
+            let limit = (admitted.deadline + ANSWER_GRACE).into();
+            let EndpointAnswer {
+                status,
+                headers,
+                length,
+                body,
+                ..
+            } = open.answer;
+            let read = timeout_at(limit, read_whole(body)).await;
+            let reason = match read {
+                Ok(Ok((bytes, rest))) => {
+                    self.clear_suspect(admitted.fingerprint);
+                    let taken_ms = admitted.request.arrived.elapsed().as_millis();
+                    tracing::info!(request = %admitted.request.id, endpoint = %open.flight.endpoint(), %status, %taken_ms, "answered");
+                    self.metrics
+                        .answered(&admitted.route.name, status, admitted.request.arrived);
+                    return Ok(ForwardAnswer::Relayed {
+                        status,
+                        headers,
+                        length,
+                        body: whole_body(bytes, rest, admitted, open.flight),
+                    });
+                }
+                Ok(Err(error)) => {
+                    open.flight.break_off(admitted.fingerprint);
+                    error.to_string()
+                }
+                Err(_) => {
+                    open.flight.fail();
+                    "the answer did not end in time".to_owned()
+                }
+            };
+            tracing::info!(request = %admitted.request.id, endpoint = %open.flight.endpoint(), reason, "the answer broke off");
+            drop(open.flight);
+            let over = Instant::now() >= admitted.deadline;
+            if over || !admitted.may_run_again() || !self.may_send_again(&admitted) {
+                return Err(RefusalKind::Lost);
+            }
+            open = self.send(&mut admitted, None).await?;
+        }
+    }
+}
+
+type WholeRead = (Vec<Bytes>, Option<EndpointBody>);
+
+async fn read_whole(mut body: EndpointBody) -> Result<WholeRead, CallError> {
+    let mut parts = Vec::new();
+    let mut size = 0;
+    while let Some(part) = body.next().await {
+        let part = part?;
+        size += part.len();
+        parts.push(part);
+        if size > WHOLE_LIMIT {
+            return Ok((parts, Some(body)));
+        }
+    }
+    Ok((parts, None))
+}
+
+/// Body of an answer that was read, with the rest of a large one; keeps the flight until its end.
+fn whole_body(
+    parts: Vec<Bytes>,
+    rest: Option<EndpointBody>,
+    admitted: AdmittedRequest,
+    mut flight: OpenFlight,
+) -> AnswerBody {
+    Box::pin(async_stream::stream! {
+        let _admitted = admitted;
+        for part in parts {
+            yield Ok(part);
+        }
+        let Some(mut rest) = rest else { return };
+        while let Some(part) = rest.next().await {
+            match part {
+                Ok(part) => yield Ok(part),
+                Err(error) => {
+                    flight.fail();
+                    yield Err(BrokenAnswer(error.to_string().into()));
+                    return;
+                }
+            }
+        }
+    })
+}
