Test that the log leads from a request to its cause

Cause: no test read the log; the line on a total that does not cover a request did not name the request. Change: tests/log.rs holds the lines of four refused requests (spent, partition, store away, silent endpoint); the line names the request. Conclusion: each refusal can be followed.

--- a/crates/forward/src/book.rs
+++ b/crates/forward/src/book.rs
@@ -199,7 +199,7 @@
         {
             shortage
         } else {
-            match timeout_at(deadline.into(), self.refill(&tab, amount)).await {
+            match timeout_at(deadline.into(), self.refill(Some(request), &tab, amount)).await {
                 Ok(Ok(())) => BudgetShortage::HeldElsewhere,
                 Ok(Err(shortage)) => shortage,
                 Err(_) => {
@@ -391,7 +391,7 @@
         if self.is_store_paused() {
             return;
         }
-        if let Err(shortage) = self.refill(tab, 0).await {
+        if let Err(shortage) = self.refill(None, tab, 0).await {
             tracing::info!(customer = %tab.customer, ?shortage, "a refill ahead of need failed");
         }
     }
@@ -415,7 +415,12 @@
         });
     }
 
-    async fn refill(&self, tab: &SpendTab, amount: Tokens) -> Result<(), BudgetShortage> {
+    async fn refill(
+        &self,
+        request: Option<&RequestId>,
+        tab: &SpendTab,
+        amount: Tokens,
+    ) -> Result<(), BudgetShortage> {
         let mut account = tab.account.lock().await;
         if self.is_store_paused() || self.closed.load(Ordering::Relaxed) {
             return Err(BudgetShortage::StoreAway);
@@ -446,7 +451,7 @@
             BudgetShortage::HeldElsewhere
         };
         tracing::info!(
-            customer = %tab.customer, amount, prepaid, free = account.free(prepaid),
+            request = request.map(|id| id.as_str()), customer = %tab.customer, amount, prepaid, free = account.free(prepaid),
             others = account.held_by_others(), ?shortage, "the total does not cover a request"
         );
         tab.demand().drained = Some((Instant::now() + DRAINED_PAUSE, shortage));
--- /dev/null
+++ b/crates/forward/tests/log.rs
@@ -0,0 +1,230 @@
+//! Logs: a refused request can be followed from its id to its cause.
+
+use std::{
+    pin::Pin,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use {
+    http::{HeaderMap, Method},
+    jasminewall_core::{CustomerId, HolderId, Tokens},
+    jasminewall_forward::{
+        FleetView, ForwardEngine, PredecessorEnd, SpendBook, TokenPeers,
+        port::{CallError, CallFuture, EndpointCall, EndpointChange, EndpointPage, EndpointPort},
+        record::{
+            CallerRule, CustomerRule, EndpointRecord, EndpointState, FleetConfig, RepeatRule,
+            RouteRule,
+        },
+        request::{ForwardAnswer, ForwardRequest, PromptNeed, RefusalKind},
+        setting::FleetBounds,
+    },
+    jasminewall_ports::{MemoryRows, RowFault},
+};
+
+/// Peers without tokens.
+struct NoPeers;
+
+impl TokenPeers for NoPeers {
+    fn ask<'a>(
+        &'a self,
+        _: &'a CustomerId,
+        _: Tokens,
+    ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>> {
+        Box::pin(async { 0 })
+    }
+
+    fn deposit<'a>(
+        &'a self,
+        _: &'a CustomerId,
+        _: Tokens,
+    ) -> Pin<Box<dyn Future<Output = bool> + Send + 'a>> {
+        Box::pin(async { false })
+    }
+}
+
+/// Endpoints behind a partition: connections fail, or answers never come.
+struct CutEndpoints {
+    connects: bool,
+}
+
+impl EndpointPort for CutEndpoints {
+    fn call<'a>(&'a self, _: EndpointCall<'a>) -> CallFuture<'a> {
+        let connects = self.connects;
+        Box::pin(async move {
+            if connects {
+                tokio::time::sleep(Duration::from_secs(60)).await;
+            }
+            Err(CallError::NotSent("timed out".into()))
+        })
+    }
+
+    fn accepts(&self, _: std::net::SocketAddr) -> Pin<Box<dyn Future<Output = bool> + Send + '_>> {
+        Box::pin(async { true })
+    }
+}
+
+/// Writer that keeps all lines.
+#[derive(Clone, Default)]
+struct KeptLines(Arc<Mutex<Vec<u8>>>);
+
+impl std::io::Write for KeptLines {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().expect("no writer panicked").extend(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+impl KeptLines {
+    /// Messages of a request, in order, with the fields that are named.
+    fn of(&self, request: &str, fields: &[&str]) -> Vec<String> {
+        let bytes = self.0.lock().expect("no writer panicked").clone();
+        let text = String::from_utf8(bytes).expect("the log is text");
+        let lines = text.lines().map(|line| {
+            serde_json::from_str::<serde_json::Value>(line).expect("each line is JSON")
+        });
+        let own = lines.filter(|line| line["request"] == request);
+        let shown = own.map(|line| {
+            let fields = fields.iter().filter(|field| !line[**field].is_null());
+            let fields: Vec<String> = fields
+                .map(|field| format!(" {field}={}", line[*field]))
+                .collect();
+            format!(
+                "{}{}",
+                line["message"].as_str().unwrap_or_default(),
+                fields.concat()
+            )
+        });
+        shown.collect()
+    }
+}
+
+fn engine(rows: &MemoryRows, endpoints: CutEndpoints, prepaid: Tokens) -> Arc<ForwardEngine> {
+    let holder = HolderId::new("vm-1", 1);
+    let view = Arc::new(FleetView::default());
+    let rule = RouteRule {
+        name: "draft".into(),
+        host: "shop".into(),
+        prefix: "/".into(),
+        targets: vec![("llm".into(), 1)],
+        repeat: RepeatRule::Stream,
+        timeout: Duration::from_millis(400),
+        target_latency: Duration::from_millis(100),
+        target_gap: None,
+        attempts: 1,
+        priority: 0,
+        anonymous: false,
+    };
+    let customer = CustomerRule {
+        name: "parish".into(),
+        priority: None,
+        prepaid: Some(prepaid),
+    };
+    let customers = vec![(customer, vec!["key".into()])];
+    let config = FleetConfig::new(
+        7,
+        vec![rule],
+        Default::default(),
+        customers,
+        CallerRule::default(),
+    );
+    view.install(config, "test");
+    let changes = vec![EndpointChange {
+        id: "engine-1".into(),
+        record: Some(EndpointRecord {
+            id: "engine-1".into(),
+            born: 1,
+            service: "llm".into(),
+            address: ([127, 0, 0, 1], 1).into(),
+            domain: "a".into(),
+            slots: 4,
+            state: EndpointState::Ready,
+        }),
+    }];
+    view.replace_endpoints(
+        EndpointPage {
+            changes,
+            version: 1,
+        },
+        Instant::now(),
+    );
+    let book = SpendBook::new(holder.clone(), Arc::new(rows.clone()), Arc::new(NoPeers));
+    book.set_predecessor(PredecessorEnd::Unknown);
+    let bounds = FleetBounds::default();
+    ForwardEngine::new(holder, "a".into(), view, book, Arc::new(endpoints), bounds)
+}
+
+fn request(id: &str, input: Tokens) -> ForwardRequest {
+    let arrived = Instant::now();
+    ForwardRequest {
+        id: id.into(),
+        host: "shop".into(),
+        method: Method::POST,
+        target: "/draft".into(),
+        headers: HeaderMap::new(),
+        body: Default::default(),
+        key: Some("key".into()),
+        arrived,
+        deadline: Some(arrived + Duration::from_secs(2)),
+        prompt: Some(PromptNeed {
+            input,
+            output: 10,
+            parts: Vec::new(),
+        }),
+        resume_from: None,
+    }
+}
+
+async fn refusal(engine: &Arc<ForwardEngine>, request: ForwardRequest) -> RefusalKind {
+    match engine.handle(request).await {
+        ForwardAnswer::Refused { kind, .. } => kind,
+        ForwardAnswer::Relayed { status, .. } => panic!("the request was answered {status}"),
+    }
+}
+
+/// Guards against refusals whose cause the log does not name: spent, store away, partition, and an
+/// endpoint that does not answer.
+#[tokio::test]
+async fn the_log_leads_from_a_request_to_its_cause() {
+    let lines = KeptLines::default();
+    let writer = lines.clone();
+    let subscriber = tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_writer(move || writer.clone())
+        .finish();
+    let _guard = tracing::subscriber::set_default(subscriber);
+    let rows = MemoryRows::new();
+    let cut = engine(&rows, CutEndpoints { connects: false }, 1_000);
+    assert_eq!(
+        refusal(&cut, request("spent", 5_000)).await,
+        RefusalKind::BudgetSpent
+    );
+    assert_eq!(
+        refusal(&cut, request("partition", 50)).await,
+        RefusalKind::NoEndpoint
+    );
+    rows.set_fault(RowFault::Unavailable);
+    let away = engine(&rows, CutEndpoints { connects: true }, 1_000);
+    assert_eq!(
+        refusal(&away, request("away", 50)).await,
+        RefusalKind::BudgetUnavailable
+    );
+    rows.set_fault(RowFault::None);
+    let silent = engine(&MemoryRows::new(), CutEndpoints { connects: true }, 1_000);
+    assert_eq!(
+        refusal(&silent, request("silent", 50)).await,
+        RefusalKind::TimedOut
+    );
+
+    let fields = [
+        "customer", "version", "endpoint", "reason", "shortage", "refusal", "charged",
+    ];
+    let shown =
+        ["spent", "partition", "away", "silent"].map(|id| lines.of(id, &fields).join("\n  "));
+    insta::assert_snapshot!(shown.join("\n\n  "));
+}
