--- a/crates/jasminewall/src/main.rs
+++ b/crates/jasminewall/src/main.rs
@@ -56,7 +56,7 @@
             }
             /// Run one router on the users' platform.
             ///
-            /// The settings file is the one that JASMINEWALL_SETTINGS names, unless --settings is given.
+            /// The settings file is the one that the platform's environment variable names, unless --settings is given.
             cmd serve {
                 /// Settings, an INI file.
                 optional --settings path: PathBuf
