Remove what the forwarding path does not use

Cause: connection caps, engine slots, cache sizes and the header time-out were decoded and never read; two tests had the same stand-in for peers. Conclusion: no behaviour changes.

--- a/crates/forward/src/record.rs
+++ b/crates/forward/src/record.rs
@@ -85,10 +85,6 @@
 /// What the configuration says of the engines of a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineRule {
-    /// Requests that one engine runs at once.
-    pub slots: u32,
-    /// Tokens that fit into the cache memory of one engine.
-    pub cache_tokens: Tokens,
     /// Tokens that one event of a stream holds at most.
     pub event_tokens: Tokens,
 }
@@ -96,8 +92,6 @@
 /// Group of interchangeable endpoints.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceRule {
-    /// Connections that one endpoint accepts from all routers together.
-    pub connections: u32,
     /// Set when the endpoints are model engines.
     pub engine: Option<EngineRule>,
 }
@@ -120,8 +114,6 @@
     pub header_bytes: usize,
     /// Largest body, in bytes.
     pub body_bytes: usize,
-    /// Longest time for the header to arrive.
-    pub header_timeout: Duration,
     /// Longest time that a connection may stay idle.
     pub idle_timeout: Duration,
 }
@@ -132,7 +124,6 @@
         Self {
             header_bytes: 16 << 10,
             body_bytes: 4 << 20,
-            header_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         }
     }
--- a/crates/forward/tests/budget.rs
+++ b/crates/forward/tests/budget.rs
@@ -1,7 +1,6 @@
 //! Prepaid totals: draws, outages, crashes and restarts of routers against an in-memory store.
 
 use std::{
-    pin::Pin,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -9,36 +8,18 @@
 use {
     bytes::Bytes,
     jasminewall_core::{CustomerId, HolderId, Tokens},
-    jasminewall_forward::{BudgetShortage, PredecessorEnd, SpendBook, TokenPeers},
+    jasminewall_forward::{BudgetShortage, PredecessorEnd, SpendBook},
     jasminewall_ports::{MemoryRows, RowFault, RowKey},
 };
 
-/// No peer ever gives tokens.
-struct NoPeers;
-
-impl TokenPeers for NoPeers {
-    fn ask<'a>(
-        &'a self,
-        _: &'a CustomerId,
-        _: Tokens,
-    ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>> {
-        Box::pin(async { 0 })
-    }
-
-    fn deposit<'a>(
-        &'a self,
-        _: &'a CustomerId,
-        _: Tokens,
-    ) -> Pin<Box<dyn Future<Output = bool> + Send + 'a>> {
-        Box::pin(async { false })
-    }
-}
+#[path = "support/peers.rs"]
+mod peers;
 
 fn book(rows: &MemoryRows, vm: &str, boot: u64, end: PredecessorEnd) -> Arc<SpendBook> {
     let book = SpendBook::new(
         HolderId::new(vm, boot),
         Arc::new(rows.clone()),
-        Arc::new(NoPeers),
+        Arc::new(peers::NoPeers),
     );
     book.set_predecessor(end);
     book
--- a/crates/forward/tests/log.rs
+++ b/crates/forward/tests/log.rs
@@ -8,9 +8,9 @@
 
 use {
     http::{HeaderMap, Method},
-    jasminewall_core::{CustomerId, HolderId, Tokens},
+    jasminewall_core::{HolderId, Tokens},
     jasminewall_forward::{
-        FleetView, ForwardEngine, PredecessorEnd, SpendBook, TokenPeers,
+        FleetView, ForwardEngine, PredecessorEnd, SpendBook,
         port::{CallError, CallFuture, EndpointCall, EndpointChange, EndpointPage, EndpointPort},
         record::{
             CallerRule, CustomerRule, EndpointRecord, EndpointState, FleetConfig, RepeatRule,
@@ -22,26 +22,8 @@
     jasminewall_ports::{MemoryRows, RowFault},
 };
 
-/// Peers without tokens.
-struct NoPeers;
-
-impl TokenPeers for NoPeers {
-    fn ask<'a>(
-        &'a self,
-        _: &'a CustomerId,
-        _: Tokens,
-    ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>> {
-        Box::pin(async { 0 })
-    }
-
-    fn deposit<'a>(
-        &'a self,
-        _: &'a CustomerId,
-        _: Tokens,
-    ) -> Pin<Box<dyn Future<Output = bool> + Send + 'a>> {
-        Box::pin(async { false })
-    }
-}
+#[path = "support/peers.rs"]
+mod peers;
 
 /// Endpoints behind a partition: connections fail, or answers never come.
 struct CutEndpoints {
@@ -152,7 +134,11 @@
         },
         Instant::now(),
     );
-    let book = SpendBook::new(holder.clone(), Arc::new(rows.clone()), Arc::new(NoPeers));
+    let book = SpendBook::new(
+        holder.clone(),
+        Arc::new(rows.clone()),
+        Arc::new(peers::NoPeers),
+    );
     book.set_predecessor(PredecessorEnd::Unknown);
     let bounds = FleetBounds::default();
     ForwardEngine::new(holder, "a".into(), view, book, Arc::new(endpoints), bounds)
