--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -41,6 +41,7 @@
     book::{BudgetHold, BudgetShortage, PredecessorEnd, SpendBook, TokenPeers},
     engine::{ForwardEngine, StopWindow},
     fleet::FleetView,
+    metric::METRIC_NAMES,
     node::{ForwardNode, ForwardPorts},
     setting::ForwardSetting,
     sse::{EventSplitter, StreamEvent},
--- a/crates/forward/src/metric.rs
+++ b/crates/forward/src/metric.rs
@@ -14,6 +14,15 @@
 
 /// Prefix of all metric names.
 const PREFIX: &str = "jasminewall";
+/// Names of all metrics, as listed in `docs/metrics.md`.
+pub const METRIC_NAMES: &[&str] = &[
+    "answers",
+    "refusals",
+    "endpoint_rejections",
+    "endpoint_losses",
+    "answer_ms",
+    "first_event_ms",
+];
 /// Upper bounds of the latency buckets, in ms; they span the aims and deadlines of all routes.
 const BUCKETS_MS: [u64; 12] = [
     10, 25, 50, 100, 150, 250, 500, 1_000, 2_000, 4_000, 8_000, 16_000,
--- a/crates/testkit/tests/caller_settings.rs
+++ b/crates/testkit/tests/caller_settings.rs
@@ -4,6 +4,7 @@
 use std::{collections::BTreeSet, net::UdpSocket, time::Duration};
 
 use {
+    jasminewall_forward::setting::FORWARD_KEYS,
     jasminewall_router::{
         RouterHandle, RouterSetting, StandinSetting,
         setting::{ROUTER_KEYS, STANDIN_KEYS},
@@ -66,7 +67,8 @@
 
 #[test]
 fn every_key_and_metric_is_documented() {
-    for (section, keys) in ROUTER_KEYS.iter().chain(STANDIN_KEYS) {
+    let programs = [ROUTER_KEYS, STANDIN_KEYS, FORWARD_KEYS];
+    for (section, keys) in programs.into_iter().flatten() {
         for key in *keys {
             let row = format!("| `{section}` | `{key}` |");
             assert!(SETTINGS.contains(&row), "{row} is missing");
@@ -76,12 +78,10 @@
         .lines()
         .filter(|line| line.starts_with("| `"))
         .count();
-    let keys = ROUTER_KEYS
-        .iter()
-        .chain(STANDIN_KEYS)
-        .map(|(_, keys)| keys.len());
+    let keys = programs.into_iter().flatten().map(|(_, keys)| keys.len());
     assert_eq!(rows, keys.sum::<usize>());
-    for name in METRIC_NAMES {
+    let names = [METRIC_NAMES, jasminewall_forward::METRIC_NAMES];
+    for name in names.into_iter().flatten() {
         assert!(
             METRICS.contains(&format!("| `{name}` |")),
             "{name} is missing"
@@ -91,7 +91,7 @@
         .lines()
         .filter(|line| line.starts_with("| `"))
         .count();
-    assert_eq!(rows, METRIC_NAMES.len());
+    assert_eq!(rows, names.into_iter().flatten().count());
 }
 
 /// Guards against metrics that are documented but never sent.
