--- a/crates/ports/src/row.rs
+++ b/crates/ports/src/row.rs
@@ -1,7 +1,7 @@
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex, PoisonError},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use {bytes::Bytes, smol_str::SmolStr, tokio::sync::Notify};
@@ -148,6 +148,7 @@
     transactions: u64,
     started: Option<Instant>,
     skipped_ms: u64,
+    delay: Duration,
 }
 
 impl MemoryRows {
@@ -176,6 +177,11 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Sets the time that each answer to a transaction takes.
+    pub fn set_delay(&self, delay: Duration) {
+        self.with(|state| state.delay = delay);
+    }
+
     /// Moves the store's clock ahead.
     pub fn skip(&self, ms: u64) {
         self.with(|state| state.skipped_ms += ms);
@@ -284,8 +290,12 @@
 impl RowPort for MemoryRows {
     fn transact(&self, transaction: RowTransaction) -> PortFuture<'_, RowReply> {
         let reply = self.with(|state| state.transact(transaction));
+        let delay = self.with(|state| state.delay);
         self.shared.changed.notify_waiters();
-        Box::pin(async move { reply })
+        Box::pin(async move {
+            tokio::time::sleep(delay).await;
+            reply
+        })
     }
 
     fn read<'a>(&'a self, table: &'a str, partition: &'a str) -> PortFuture<'a, RowPage> {
