--- a/crates/forward/src/group.rs
+++ b/crates/forward/src/group.rs
@@ -76,6 +76,21 @@
     client: Option<RouterPeerClient>,
 }
 
+impl PeerLink {
+    /// Whether the peer was not found silent a moment ago.
+    fn may_answer(&self, now: Instant) -> bool {
+        self.silent_until.is_none_or(|until| until <= now)
+    }
+
+    fn target(&self, vm: &VmId) -> PeerTarget {
+        PeerTarget {
+            vm: vm.clone(),
+            address: self.record.address,
+            client: self.client.clone(),
+        }
+    }
+}
+
 impl PeerGroup {
     /// Starts without knowledge of other routers.
     pub(crate) fn new(vm: VmId, record: PeerRecord, rows: Arc<dyn RowPort>) -> Arc<Self> {
@@ -195,17 +210,10 @@
     fn draw(&self, most: usize) -> Vec<PeerTarget> {
         let now = Instant::now();
         let peers = self.peers();
-        let open = peers
-            .iter()
-            .filter(|(_, link)| link.silent_until.is_none_or(|until| until <= now));
+        let open = peers.iter().filter(|(_, link)| link.may_answer(now));
         let open: Vec<(&VmId, &PeerLink)> = open.collect();
         let drawn = open.choose_multiple(&mut rand::rng(), most);
-        let targets = drawn.map(|(vm, link)| PeerTarget {
-            vm: (*vm).clone(),
-            address: link.record.address,
-            client: link.client.clone(),
-        });
-        targets.collect()
+        drawn.map(|(vm, link)| link.target(vm)).collect()
     }
 
     /// Routers that exchange loads with this one: all of a small fleet, otherwise some of the same
@@ -215,18 +223,12 @@
         let peers = self.peers();
         let small = peers.len() < NEIGHBOURS;
         let near = peers.iter().filter(|(_, link)| {
-            (small || link.record.domain == self.record.domain)
-                && link.silent_until.is_none_or(|until| until <= now)
+            (small || link.record.domain == self.record.domain) && link.may_answer(now)
         });
         let mut near: Vec<(&VmId, &PeerLink)> = near.collect();
         near.sort_by_key(|(vm, _)| xxh3_64_with_seed(vm.as_bytes(), self.record.boot));
         let near = near.into_iter().take(NEIGHBOURS);
-        let targets = near.map(|(vm, link)| PeerTarget {
-            vm: vm.clone(),
-            address: link.record.address,
-            client: link.client.clone(),
-        });
-        targets.collect()
+        near.map(|(vm, link)| link.target(vm)).collect()
     }
 
     /// Connection to a peer; opened if there is none.
