Refuse waiting requests before a refusal counts as late

Cause: the admission queue refused a waiting request when its deadline could no longer be met, up to the whole time limit after its arrival. Change: a request that still waits after 8% of its time limit is refused.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -65,6 +65,8 @@
 /// Factor on the expected wait when it is compared with a deadline. Lengths are heavy-tailed, and
 /// work that is cut off by its deadline is wasted.
 const WAIT_MARGIN: u32 = 2;
+/// Part of the time limit after which a waiting request is refused.
+const REFUSE_SHARE: f64 = 0.08;
 /// Increase of the reservations, as a share of their full size, by one delayed short request.
 const RESERVE_STEP: f64 = 0.25;
 /// Factor on the reservations by one short request that was not delayed. Endpoints that run
@@ -134,6 +136,8 @@
     pub least: Tokens,
     /// Time by which the answer must be whole.
     pub deadline: Instant,
+    /// Time by which the request is refused if it still waits; see [`refuse_at`].
+    pub refuse_at: Instant,
     /// What the caller of the queue needs to go on.
     pub item: T,
 }
@@ -284,10 +288,11 @@
             let Some(customer) = self.next_customer(class) else {
                 continue;
             };
-            let account = self.accounts.get_mut(&customer)?;
+            let late = self.late_customer(class, now);
+            let account = self.accounts.get_mut(late.as_ref().unwrap_or(&customer))?;
             let head = account.queues[class.index()].front()?;
-            if now + run_time(head.least, view) > head.deadline {
-                let work = self.pop(&customer, class)?;
+            if late.is_some() || now + run_time(head.least, view) > head.deadline {
+                let work = self.pop(late.as_ref().unwrap_or(&customer), class)?;
                 return Some(QueueRelease::Refuse(RefusedWork {
                     item: work.item,
                     code: RefusalCode::DeadlineTooShort,
@@ -499,6 +504,16 @@
             .map(|(customer, _)| customer.clone())
     }
 
+    /// Customer whose oldest request of a class has waited for too long.
+    fn late_customer(&self, class: WorkClass, now: Instant) -> Option<CustomerId> {
+        let mut accounts = self.accounts.iter();
+        let late = accounts.find(|(_, account)| {
+            let head = account.queues[class.index()].front();
+            head.is_some_and(|head| head.refuse_at <= now)
+        });
+        late.map(|(customer, _)| customer.clone())
+    }
+
     fn evict(&mut self, class: WorkClass) -> Option<T> {
         let heaviest = self
             .accounts
@@ -545,6 +560,14 @@
     }
 }
 
+/// When a request that waits is refused: a refusal later than a tenth of the time limit counts as
+/// late, and the queue is looked at a little after this time.
+pub fn refuse_at(deadline: Instant, now: Instant) -> Instant {
+    now + deadline
+        .saturating_duration_since(now)
+        .mul_f64(REFUSE_SHARE)
+}
+
 fn run_time(work: Tokens, view: CapacityView) -> Duration {
     Duration::from_secs_f64(work as f64 * view.token_time.as_secs_f64())
 }
--- a/crates/router/src/dispatch/queue.rs
+++ b/crates/router/src/dispatch/queue.rs
@@ -6,7 +6,7 @@
 use {
     jasminewall_core::{
         ConfigRecord, CustomerId, EndpointId, RecordKind, Refusal, RefusalCode, RequestId, Tokens,
-        admission::{QueueRelease, QueuedWork, RefusedWork, WorkClass},
+        admission::{self, QueueRelease, QueuedWork, RefusedWork, WorkClass},
         choice::{EndpointChoice, WorkId, WorkNeed},
         record::EndpointRecord,
     },
@@ -327,6 +327,7 @@
         work: expected,
         least: learned.unwrap_or(1),
         deadline: job.deadline,
+        refuse_at: admission::refuse_at(job.deadline, Instant::now()),
         item: WaitingJob {
             request: job.request.clone(),
             prompt: prompt_of(job),
--- a/crates/testkit/src/sim/routing/router.rs
+++ b/crates/testkit/src/sim/routing/router.rs
@@ -7,7 +7,7 @@
     jasminewall_core::{
         CustomerId, EndpointId, RefusalCode, RouteId, Tokens,
         admission::{
-            AdmissionQueue, CapacityView, LengthTable, QueueRelease, QueuedWork, WorkClass,
+            self, AdmissionQueue, CapacityView, LengthTable, QueueRelease, QueuedWork, WorkClass,
         },
         choice::{EndpointPool, EndpointTable, LoadReport, WorkId, WorkNeed},
         retry::{self, RetryBudget},
@@ -154,6 +154,7 @@
             work,
             least: work,
             deadline: epoch + Duration::from_micros(load.deadline),
+            refuse_at: admission::refuse_at(epoch + Duration::from_micros(load.deadline), now),
             item: request,
         };
         let refused = self.queue.offer(queued, self.view(), now);
