Open tokens by degrees while a heartbeat is late, and keep large fleets' grants at a few routers

Tokens that peers gave were not usable before the next write. After a crash of all routers, accounts were taken over 2.5 to 10 s later, in conflict over the pool. With 65 routers a router's part of a customer's demand is less than one request, so that each request needed the store. Change: the account names a rate at which its open tokens grow from the time on at which the heartbeat is late; the heartbeat says when that is. Tokens received count on top of the limit at once. Restarted routers take over at once, and without the pool row. In fleets over 16 routers, one router of each failure domain keeps a customer's grant (rendezvous hashing); the others ask it, then the store. All changes that may still land bound what may be consumed, not just the newest.

--- a/crates/forward/src/book.rs
+++ b/crates/forward/src/book.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     contact::{ContactMode, StoreLink},
-    tab::SpendTab,
+    tab::{SpendLimit, SpendTab},
     total::{AccountUse, SPEND_TABLE, TotalAccount},
 };
 
@@ -30,6 +30,16 @@
 /// budget counts as spent by callers' bounds when 3 in 100 are left, about 1.3 seconds of the
 /// demand for which a total is made on the users' platform.
 const OPEN_COVER: Duration = Duration::from_millis(1_300);
+/// Growth of the open tokens while a heartbeat is late, in multiples of the own demand; the demand
+/// may rise during an outage.
+const LATE_DEMAND: f64 = 1.5;
+/// Smallest growth a second as a part of the grant, as a divisor, for customers without recent
+/// demand.
+const LATE_FLOOR: Tokens = 16;
+/// Longest time in which a router that gives tokens opens more of its grant; a few transactions.
+const GIVE_WAIT: Duration = Duration::from_millis(60);
+/// Time between two looks at whether a restart has accounts to take over.
+const INHERIT_POLL: Duration = Duration::from_millis(50);
 /// Smallest open part of a grant, as a divisor, for customers without recent demand.
 const OPEN_FLOOR: Tokens = 16;
 /// Changes that one request waits for when others use up what is open.
@@ -69,13 +79,15 @@
 
 /// Other routers that may give tokens which they hold.
 pub trait TokenPeers: Send + Sync {
+    /// Whether this router keeps a grant of the customer ahead of demand.
+    fn is_keeper(&self, customer: &CustomerId) -> bool;
     /// Asks some peers for tokens of a customer; says how many they gave.
     fn ask<'a>(
         &'a self,
         customer: &'a CustomerId,
         wanted: Tokens,
     ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>>;
-    /// Hands tokens to a peer; says whether one took them.
+    /// Hands tokens to a peer that keeps a grant; says whether one took them.
     fn deposit<'a>(
         &'a self,
         customer: &'a CustomerId,
@@ -102,8 +114,13 @@
 /// How the run before this one on the VM ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PredecessorEnd {
-    /// It surely consumed no more than its accounts left open.
-    Attached(BootId),
+    /// It surely consumed no more than its accounts left open by then.
+    Attached {
+        /// Run.
+        boot: BootId,
+        /// Longest time for which its heartbeat was late.
+        late: Duration,
+    },
     /// It may have consumed whole grants, or there was none.
     Unknown,
 }
@@ -189,10 +206,17 @@
         let tab = self.tab(customer);
         let now = Instant::now();
         tab.raise(prepaid);
+        tab.demand().note_size(amount);
         if let Some(hold) = self.try_hold(&tab, request, amount) {
             self.refill_soon(&tab);
             return Ok(hold);
         }
+        if !self.peers.is_keeper(customer) {
+            self.ask_peers(request, &tab, amount, None, deadline).await;
+            if let Some(hold) = self.try_hold(&tab, request, amount) {
+                return Ok(hold);
+            }
+        }
         let drained = tab.demand().drained;
         let shortage = if let Some((until, shortage)) = drained
             && until > now
@@ -211,23 +235,65 @@
         if let Some(hold) = self.try_hold(&tab, request, amount) {
             return Ok(hold);
         }
-        if shortage != BudgetShortage::Spent {
-            let missing = amount.saturating_sub(self.spendable(customer));
-            let given = self.peers.ask(customer, missing).await;
-            self.receive(customer, given);
-            tracing::info!(%request, %customer, missing, given, ?shortage, "asked peers for tokens");
+        if shortage != BudgetShortage::Spent && self.peers.is_keeper(customer) {
+            self.ask_peers(request, &tab, amount, Some(shortage), deadline)
+                .await;
         }
         self.try_hold(&tab, request, amount).ok_or(shortage)
     }
 
-    /// Takes tokens out of the ledger for a peer that has a request to serve.
-    pub fn give(&self, customer: &CustomerId, wanted: Tokens) -> Tokens {
+    /// Asks peers for what a request lacks. Tokens that arrive after `deadline` serve later requests.
+    async fn ask_peers(
+        self: &Arc<Self>,
+        request: &RequestId,
+        tab: &SpendTab,
+        amount: Tokens,
+        shortage: Option<BudgetShortage>,
+        deadline: Instant,
+    ) {
+        let (book, customer) = (self.clone(), tab.customer.clone());
+        let missing = amount.saturating_sub(self.room(tab).min(self.spendable(&customer)));
+        let asked = tokio::spawn(async move {
+            let given = book.peers.ask(&customer, missing).await;
+            book.receive(&customer, given);
+            given
+        });
+        let given = match timeout_at(deadline.into(), asked).await {
+            Ok(Ok(given)) => Some(given),
+            _ => None,
+        };
+        tracing::info!(
+            %request, customer = %tab.customer, missing, given,
+            shortage = shortage.map(tracing::field::debug), "asked peers for tokens"
+        );
+    }
+
+    /// Gives tokens to a peer that has a request to serve; a keeper opens more of its grant first
+    /// when it has to.
+    pub async fn give(self: &Arc<Self>, customer: &CustomerId, wanted: Tokens) -> Tokens {
         let tab = self.tab(customer);
-        let room = self.room(&tab);
-        let given = self.ledger().begin_return(customer, wanted.min(room));
+        tab.demand().note_size(wanted);
+        let is_keeper = self.peers.is_keeper(customer);
+        if is_keeper && !self.covers(&tab, wanted) && tab.demand().prepaid > 0 {
+            let deadline = Instant::now() + GIVE_WAIT;
+            // A shortage shows in what can be given.
+            let _ = timeout_at(deadline.into(), self.refill(None, &tab, wanted)).await;
+        }
+        let given = self.take_out(&tab, wanted);
+        if is_keeper {
+            tab.demand().rate.add(given, Instant::now());
+            self.refill_soon(&tab);
+        }
+        given
+    }
+
+    /// Takes tokens out of the ledger, as far as they may be consumed.
+    fn take_out(&self, tab: &SpendTab, wanted: Tokens) -> Tokens {
+        let room = self.room(tab);
+        let given = self.ledger().begin_return(&tab.customer, wanted.min(room));
         let mut demand = tab.demand();
         demand.given += given;
-        demand.stale = true;
+        demand.stale |= given < wanted;
         given
     }
 
@@ -252,7 +318,7 @@
     pub async fn write_overdrawn(&self) -> bool {
         let tabs: Vec<Arc<SpendTab>> = self.tabs().values().cloned().collect();
         for tab in tabs {
-            if self.consumed(&tab) <= tab.demand().limit() {
+            if self.consumed(&tab) <= tab.demand().allowed(Duration::ZERO) {
                 continue;
             }
             let mut account = tab.account.lock().await;
@@ -272,12 +338,15 @@
 
     /// Tokens that may be consumed before the next write.
     fn room(&self, tab: &SpendTab) -> Tokens {
-        let mode = self.link().mode(Instant::now());
-        if mode == ContactMode::Detached {
-            return Tokens::MAX;
-        }
-        let limit = tab.demand().limit();
-        limit.saturating_sub(self.consumed(tab))
+        let now = Instant::now();
+        let link = *self.link();
+        let late = match link.mode(now) {
+            ContactMode::Detached => return Tokens::MAX,
+            ContactMode::Late => link.late_time(now),
+            ContactMode::Attached | ContactMode::Attaching => Duration::ZERO,
+        };
+        let allowed = tab.demand().allowed(late);
+        allowed.saturating_sub(self.consumed(tab))
     }
 
     /// Hands back all tokens that no request holds, to the store or, while it does not answer, to
@@ -297,7 +366,7 @@
                 tracing::info!(customer = %tab.customer, tokens = spare, "returned tokens at the stop");
                 continue;
             }
-            let tokens = self.give(&tab.customer, spare);
+            let tokens = self.take_out(&tab, spare);
             let kept = self.peers.deposit(&tab.customer, tokens).await;
             tracing::info!(customer = %tab.customer, tokens, kept, "gave tokens to a peer at the stop");
         }
@@ -313,7 +382,10 @@
     /// Draws grants ahead of demand and hands back what exceeds them, again and again.
     pub async fn rebalance(self: Arc<Self>, totals: impl Fn() -> Vec<(CustomerId, Tokens)>) {
         let spread = rand::rng().random_range(0..ADVANCE_SPREAD_MS);
-        tokio::time::sleep(Duration::from_millis(ADVANCE_WAIT_MS + spread)).await;
+        let start = Instant::now() + Duration::from_millis(ADVANCE_WAIT_MS + spread);
+        while Instant::now() < start && !self.may_inherit() {
+            tokio::time::sleep(INHERIT_POLL).await;
+        }
         let mut tick = tokio::time::interval(REBALANCE_INTERVAL);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
@@ -321,7 +393,8 @@
             let totals = totals();
             let advance = totals.len() <= ADVANCE_CUSTOMERS;
             for (customer, prepaid) in totals {
-                if advance || self.tabs().contains_key(&customer) {
+                let keeps = advance && (self.peers.is_keeper(&customer) || self.may_inherit());
+                if keeps || self.tabs().contains_key(&customer) {
                     let tab = self.tab(&customer);
                     tab.raise(prepaid);
                     self.balance(&tab).await;
@@ -330,6 +403,11 @@
         }
     }
 
+    /// Whether a run before this one left accounts that can be taken over.
+    fn may_inherit(&self) -> bool {
+        matches!(*self.predecessor(), Some(PredecessorEnd::Attached { .. }))
+    }
+
     async fn balance(self: &Arc<Self>, tab: &Arc<SpendTab>) {
         let excess = {
             let mut account = tab.account.lock().await;
@@ -339,6 +417,12 @@
             }
             if account.is_known() {
                 let target = self.target(tab, &account);
+                let target = if self.peers.is_keeper(&tab.customer) {
+                    target
+                } else {
+                    // What requests left over serves the next ones.
+                    2 * tab.demand().largest
+                };
                 let spendable = self.spendable(&tab.customer);
                 // The margin avoids moves back and forth.
                 if spendable > target + target / 2 {
@@ -398,6 +482,9 @@
 
     /// Starts a refill in the background unless one is running.
     fn refill_soon(self: &Arc<Self>, tab: &Arc<SpendTab>) {
+        if !self.peers.is_keeper(&tab.customer) {
+            return;
+        }
         let spendable = self.spendable(&tab.customer);
         let room = self.room(tab);
         let mut demand = tab.demand();
@@ -468,7 +555,7 @@
     ) -> Result<(), BudgetShortage> {
         match *self.predecessor() {
             None => return Err(BudgetShortage::StoreAway),
-            Some(PredecessorEnd::Attached(boot)) => account.inherit(boot),
+            Some(PredecessorEnd::Attached { boot, late }) => account.inherit(boot, late),
             Some(PredecessorEnd::Unknown) => {}
         }
         for _ in 0..CONFLICT_TRIES {
@@ -476,22 +563,33 @@
                 self.read_all(tab, account).await?;
             }
             let prepaid = tab.demand().prepaid;
-            let take = take(account);
+            // An account is taken over by itself, so that this does not conflict over the pool.
+            let take = if account.is_foreign() {
+                0
+            } else {
+                take(account)
+            };
             let spendable = self.spendable(&tab.customer) + take + account.inheritance();
             let charged = self.consumed(tab) - self.ledger().held(&tab.customer);
             let expected = tab.demand().rate.expect(OPEN_COVER, Instant::now());
             let room = expected.max(spendable / OPEN_FLOOR).max(amount);
             let room = room.min(spendable);
-            let limit = self.consumed(tab) + room;
+            let received = tab.demand().received;
             let usage = AccountUse {
                 charged,
-                received: tab.demand().received,
-                open: limit - charged,
+                received,
+                open: self.consumed(tab) + room - charged,
+                late_rate: self.late_rate(tab, spendable),
             };
             let Some(change) = account.change(prepaid, take, usage) else {
                 return Ok(());
             };
             let (inherited, stranded) = (account.inheritance(), account.stranded());
+            let limit = SpendLimit {
+                tokens: usage.charged + usage.open,
+                received,
+                late_rate: usage.late_rate,
+            };
             tab.demand().expect_limit(limit);
             // A cancelled call leaves the outcome unknown.
             account.doubt();
@@ -508,7 +606,7 @@
                     return Ok(());
                 }
                 Ok(RowReply::Conflict(rows)) => {
-                    tab.demand().pending_limit = None;
+                    tab.demand().drop_limit();
                     let granted = account.adopt_conflict(&rows);
                     self.ledger().credit(&tab.customer, granted);
                     let pause = rand::rng().random_range(0..CONFLICT_PAUSE_MS);
@@ -518,7 +616,7 @@
                     tracing::warn!(customer = %tab.customer, %error, "an account could not be changed");
                     self.pause_store();
                     if error.category() == Category::Unavailable {
-                        tab.demand().pending_limit = None;
+                        tab.demand().drop_limit();
                         account.trust();
                     }
                     return Err(BudgetShortage::StoreAway);
@@ -541,8 +639,7 @@
             BudgetShortage::StoreAway
         })?;
         let granted = account.adopt_all(&page.rows);
-        let stored = account.stored();
-        tab.demand().limit = stored.charged + stored.open;
+        tab.demand().limit = SpendLimit::of(account.stored());
         self.ledger().credit(&tab.customer, granted);
         Ok(())
     }
@@ -572,8 +669,17 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Growth of the open tokens while a heartbeat is late, in tokens a second.
+    fn late_rate(&self, tab: &SpendTab, spendable: Tokens) -> Tokens {
+        let demand = tab.demand().rate.at(Instant::now()) * LATE_DEMAND;
+        (demand as Tokens).max(spendable / LATE_FLOOR)
+    }
+
     /// Tokens that this router should hold: its part of the remaining ones.
     fn target(&self, tab: &SpendTab, account: &TotalAccount) -> Tokens {
+        if !self.peers.is_keeper(&tab.customer) {
+            return 0;
+        }
         let prepaid = tab.demand().prepaid;
         let remaining = account.free(prepaid) + self.spendable(&tab.customer);
         let holders = self.holders.load(Ordering::Relaxed);
--- a/crates/forward/src/contact.rs
+++ b/crates/forward/src/contact.rs
@@ -1,13 +1,16 @@
 //! Contact of a router run with the store, as its successor on the same VM can judge it.
 //!
 //! A run writes a heartbeat with a lower bound of the store's clock and the age from which it counts
-//! as detached. As long as the last heartbeat that may have landed is younger, the run is attached
-//! and consumes only what its accounts leave open. After that it is detached and may consume whole
-//! grants. A successor that reads the heartbeat before that age therefore knows that its predecessor
-//! ended attached, and takes over all but the open tokens.
+//! as detached. As long as the last heartbeat that may have landed is younger, the run consumes only
+//! what its accounts leave open; once the next heartbeat is late, the open tokens grow with time, at
+//! a rate that the account names. After that it is detached and may consume whole grants. A successor
+//! that reads the heartbeat before that age therefore knows how long its predecessor may have been
+//! late, and takes over all but the tokens that were open by then.
 
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
 /// Time between a crash and the first reading of the successor, at most: outages of a machine that
 /// is killed last two seconds on the users' platform, and a process starts within 0.2 s.
 const RESTART_TIME: Duration = Duration::from_millis(2_250);
@@ -17,17 +20,34 @@
 /// writes a second.
 const HEARTBEAT_EACH: Duration = Duration::from_millis(10);
 
+/// Delay of a heartbeat beyond which it counts as late; calls of a slow store take a few hundred ms.
+const LATE_MARGIN: Duration = Duration::from_millis(500);
+
 /// Whether a run may consume whole grants.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ContactMode {
     /// Consumes only what its accounts leave open.
     Attached,
+    /// The next heartbeat is late: the open tokens grow with time.
+    Late,
     /// Like attached, until all accounts are written after an outage.
     Attaching,
     /// May consume whole grants.
     Detached,
 }
 
+/// What a heartbeat says; times in ms.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct HeartbeatMark {
+    /// Lower bound of the store's clock when it was sent.
+    pub seen_ms: u64,
+    /// Age from which the next heartbeat is late.
+    #[serde(default)]
+    pub late_ms: u64,
+    /// Age from which the run may consume whole grants.
+    pub detach_ms: u64,
+}
+
 /// Contact of one run.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreLink {
@@ -70,10 +90,33 @@
         RESTART_TIME + self.interval()
     }
 
-    /// Whether a run surely ended attached that wrote a heartbeat at `seen_ms` and detaches after
-    /// `detach_ms`, at `now_ms` of the store.
-    pub fn ended_attached(seen_ms: u64, detach_ms: u64, now_ms: u64) -> bool {
-        now_ms.saturating_sub(seen_ms) < detach_ms
+    /// Age of the last heartbeat from which the next one is late.
+    pub fn late_after(&self) -> Duration {
+        self.interval() + LATE_MARGIN
+    }
+
+    /// Longest time for which a run may have been late that wrote `mark` and surely ended before
+    /// `now_ms` of the store; `None` when it may have been detached.
+    pub fn longest_late(mark: HeartbeatMark, now_ms: u64) -> Option<Duration> {
+        let age_ms = now_ms.saturating_sub(mark.seen_ms);
+        let late_ms = age_ms.saturating_sub(mark.late_ms);
+        (age_ms < mark.detach_ms).then_some(Duration::from_millis(late_ms))
+    }
+
+    /// Content of a heartbeat that is sent now.
+    pub fn mark(&self, now: Instant) -> HeartbeatMark {
+        let ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        HeartbeatMark {
+            seen_ms: self.clock(now).unwrap_or(0),
+            late_ms: ms(self.late_after()),
+            detach_ms: ms(self.detach_after()),
+        }
+    }
+
+    /// Time for which the next heartbeat has been late.
+    pub fn late_time(&self, now: Instant) -> Duration {
+        let late_at = self.sent.map(|sent| sent + self.late_after());
+        late_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
     }
 
     /// Present mode.
@@ -84,7 +127,8 @@
         match self.sent {
             // Without a heartbeat there is no grant that anyone could take over.
             None => ContactMode::Attached,
-            Some(sent) if now < sent + self.detach_after() => ContactMode::Attached,
+            Some(sent) if now < sent + self.late_after() => ContactMode::Attached,
+            Some(sent) if now < sent + self.detach_after() => ContactMode::Late,
             Some(_) => ContactMode::Detached,
         }
     }
@@ -101,11 +145,11 @@
         match self.mode(now) {
             ContactMode::Attached => !self.unresolved,
             ContactMode::Attaching => true,
-            ContactMode::Detached => false,
+            ContactMode::Late | ContactMode::Detached => false,
         }
     }
 
-    /// Starts to attach again after an outage.
+    /// Starts to attach again after a late heartbeat or an outage.
     pub fn begin_attach(&mut self) {
         self.attaching = true;
     }
--- a/crates/forward/src/group.rs
+++ b/crates/forward/src/group.rs
@@ -1,7 +1,7 @@
 //! Other routers as registered in the store, and what this router exchanges with them.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     future::Future,
     net::SocketAddr,
     pin::Pin,
@@ -11,12 +11,12 @@
 
 use {
     bytes::Bytes,
-    jasminewall_core::{CustomerId, Tokens, VmId},
+    jasminewall_core::{CustomerId, DomainId, Tokens, VmId},
     jasminewall_ports::{Category, RowKey, RowPort, RowReply, RowTransaction, RowUpdate},
     rand::seq::IndexedRandom,
     tarpc::{client, context, tokio_serde::formats::Bincode},
     tokio::time::{timeout, timeout_at},
-    xxhash_rust::xxh3::xxh3_64_with_seed,
+    xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
 };
 
 use crate::{
@@ -40,8 +40,16 @@
 const NEWS_INTERVAL: Duration = Duration::from_millis(500);
 /// Peers asked for newer state, so that the cost of a question does not grow with the fleet.
 const NEWS_PEERS: usize = 3;
-/// Peers asked for tokens, one after the other until there are enough.
+/// Peers asked for tokens, one after the other until there are enough, after those that keep grants
+/// of the customer.
 const TOKEN_PEERS: usize = 8;
+/// Largest fleet in which every router keeps a grant of every customer. In larger ones a router's
+/// part of the demand of a customer is less than a request, so that one router of each failure
+/// domain keeps a grant and the others ask it.
+const KEEPERS_ALL: usize = 16;
+/// Longest wait for tokens of a peer: the way there and back, and its transactions at the store.
+/// Tokens of an answer that comes later are out of use.
+const GIVE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Routers that exchange loads with one router.
 const NEIGHBOURS: usize = 24;
 /// Time in which changes of the load are put into one message; short against the time that an
@@ -109,11 +117,8 @@
     /// When the store does not answer.
     async fn beat(&self, book: &SpendBook) -> jasminewall_ports::Result<()> {
         let now = Instant::now();
-        let seen_ms = book.link().clock(now).unwrap_or(0);
-        let detach_after = book.link().detach_after();
         let record = PeerRecord {
-            seen_ms,
-            detach_ms: u64::try_from(detach_after.as_millis()).unwrap_or(u64::MAX),
+            heartbeat: book.link().mark(now),
             ..self.record.clone()
         };
         // A record of plain fields always encodes.
@@ -156,6 +161,40 @@
         }
     }
 
+    /// Routers that keep grants of a customer: the first of each failure domain by rendezvous
+    /// hashing, those of the own domain first; `None` stands for this router.
+    fn keepers(&self, customer: &CustomerId) -> Vec<Option<PeerTarget>> {
+        let now = Instant::now();
+        let peers = self.peers();
+        let seed = xxh3_64(customer.as_bytes());
+        let rank = |vm: &VmId| xxh3_64_with_seed(vm.as_bytes(), seed);
+        let mut first = HashMap::from([(&self.record.domain, (rank(&self.vm), None))]);
+        for (vm, link) in peers.iter().filter(|(_, link)| link.may_answer(now)) {
+            let found = (rank(vm), Some(vm));
+            let best = first.entry(&link.record.domain).or_insert(found);
+            if found.0 > best.0 {
+                *best = found;
+            }
+        }
+        let mut keepers: Vec<(&DomainId, (u64, Option<&VmId>))> = first.into_iter().collect();
+        keepers.sort_by_key(|(domain, (rank, _))| (**domain != self.record.domain, *rank));
+        let keepers = keepers.into_iter().map(|(_, (_, vm))| vm);
+        keepers
+            .map(|vm| vm.map(|vm| peers[vm].target(vm)))
+            .collect()
+    }
+
+    /// Number of routers that keep grants of one customer.
+    fn keeper_count(&self) -> usize {
+        let peers = self.peers();
+        if peers.len() < KEEPERS_ALL {
+            return peers.len() + 1;
+        }
+        let domains = peers.values().map(|link| &link.record.domain);
+        let domains: HashSet<&DomainId> = domains.chain([&self.record.domain]).collect();
+        domains.len()
+    }
+
     /// Reads the registered routers; says how many there are and how the run before this one ended.
     ///
     /// # Errors
@@ -181,10 +220,10 @@
                 }
             };
             if row.key.key == self.vm {
-                if record.boot != self.record.boot
-                    && StoreLink::ended_attached(record.seen_ms, record.detach_ms, now_ms)
-                {
-                    end = PredecessorEnd::Attached(record.boot);
+                let late = StoreLink::longest_late(record.heartbeat, now_ms);
+                if let Some(late) = late.filter(|_| record.boot != self.record.boot) {
+                    let boot = record.boot;
+                    end = PredecessorEnd::Attached { boot, late };
                 }
                 continue;
             }
@@ -285,6 +324,11 @@
 }
 
 impl TokenPeers for PeerGroup {
+    fn is_keeper(&self, customer: &CustomerId) -> bool {
+        let small = self.peers().len() < KEEPERS_ALL;
+        small || self.keepers(customer).iter().any(Option::is_none)
+    }
+
     fn ask<'a>(
         &'a self,
         customer: &'a CustomerId,
@@ -292,16 +336,27 @@
     ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>> {
         Box::pin(async move {
             let mut total = 0;
-            for target in self.draw(TOKEN_PEERS) {
+            let keepers = if self.peers().len() < KEEPERS_ALL {
+                Vec::new()
+            } else {
+                self.keepers(customer).into_iter().flatten().collect()
+            };
+            let others = if keepers.is_empty() || self.is_keeper(customer) {
+                self.draw(TOKEN_PEERS)
+            } else {
+                Vec::new()
+            };
+            for target in keepers.into_iter().chain(others) {
                 if total >= wanted {
                     break;
                 }
                 let Some(client) = self.connect(&target).await else {
                     continue;
                 };
-                let given = client.give(deadline(), customer.clone(), wanted - total);
+                let limit = deadline_in(GIVE_TIMEOUT);
+                let given = client.give(limit, customer.clone(), wanted - total);
                 // Tokens whose answer is lost stay out of use, which is safe.
-                match timeout(PEER_TIMEOUT, given).await {
+                match timeout(GIVE_TIMEOUT, given).await {
                     Ok(Ok(given)) => total += given,
                     _ => self.note_silence(&target.vm),
                 }
@@ -316,7 +371,12 @@
         tokens: Tokens,
     ) -> Pin<Box<dyn Future<Output = bool> + Send + 'a>> {
         Box::pin(async move {
-            for target in self.draw(DEPOSIT_PEERS) {
+            let keepers: Vec<PeerTarget> = if self.peers().len() < KEEPERS_ALL {
+                self.draw(DEPOSIT_PEERS)
+            } else {
+                self.keepers(customer).into_iter().flatten().collect()
+            };
+            for target in keepers {
                 let Some(client) = self.connect(&target).await else {
                     continue;
                 };
@@ -331,28 +391,34 @@
 }
 
 fn deadline() -> context::Context {
+    deadline_in(PEER_TIMEOUT)
+}
+
+fn deadline_in(time: Duration) -> context::Context {
     let mut context = context::current();
-    context.deadline = Instant::now() + PEER_TIMEOUT;
+    context.deadline = Instant::now() + time;
     context
 }
 
-/// Keeps the heartbeat and the list of routers fresh; `notify` gets the number of routers.
+/// Keeps the heartbeat and the list of routers fresh; `notify` gets the number of routers, and of
+/// those that keep grants of one customer.
 pub(crate) async fn follow_peers(
     group: Arc<PeerGroup>,
     book: Arc<SpendBook>,
-    notify: impl Fn(usize),
+    notify: impl Fn(usize, usize),
 ) {
     let mut decided = false;
     let mut refresh_at = Instant::now();
     let settled_at = refresh_at + START_TIME;
     loop {
         let now = Instant::now();
-        let detached = book.link().mode(now) == ContactMode::Detached;
-        if now >= refresh_at || detached {
+        let mode = book.link().mode(now);
+        let lost = matches!(mode, ContactMode::Late | ContactMode::Detached);
+        if now >= refresh_at || lost {
             match group.refresh(&book).await {
                 Ok((routers, end)) => {
                     book.link().set_routers(routers);
-                    notify(routers);
+                    notify(routers, group.keeper_count());
                     let starting = now < settled_at;
                     refresh_at = now
                         + if starting {
@@ -365,7 +431,7 @@
                         book.set_predecessor(end);
                         decided = true;
                     }
-                    if detached {
+                    if lost {
                         attach_again(&group, &book).await;
                     }
                 }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     book::SpendBook,
+    contact::HeartbeatMark,
     engine::{ForwardEngine, StopWindow},
     fleet::FleetView,
     follow,
@@ -65,8 +66,7 @@
             boot: holder.boot,
             address: setting.peer_listen,
             domain: setting.failure_domain.clone(),
-            seen_ms: 0,
-            detach_ms: 0,
+            heartbeat: HeartbeatMark::default(),
         };
         let view = Arc::new(FleetView::default());
         let peers = PeerGroup::new(setting.vm.clone(), record, ports.rows.clone());
@@ -88,9 +88,9 @@
         .await?;
         let notify = {
             let (engine, book) = (engine.clone(), book.clone());
-            move |routers| {
+            move |routers, keepers| {
                 engine.set_routers(routers);
-                book.set_holders(routers);
+                book.set_holders(keepers);
             }
         };
         let totals = {
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -20,6 +20,7 @@
 use crate::{
     board::LoadShare,
     book::SpendBook,
+    contact::HeartbeatMark,
     engine::ForwardEngine,
     fleet::FleetView,
     record::{EndpointRecord, FleetConfig},
@@ -37,13 +38,9 @@
     pub address: SocketAddr,
     /// Failure domain of the router.
     pub domain: DomainId,
-    /// Lower bound of the store's clock when this was written, in ms; see
-    /// [`StoreLink`](crate::contact::StoreLink).
+    /// Last heartbeat of the run; see [`StoreLink`](crate::contact::StoreLink).
     #[serde(default)]
-    pub seen_ms: u64,
-    /// Age of this heartbeat from which the run may consume whole grants, in ms.
-    #[serde(default)]
-    pub detach_ms: u64,
+    pub heartbeat: HeartbeatMark,
 }
 
 /// State that is newer than what the asking router has.
@@ -144,7 +141,7 @@
     }
 
     async fn give(self, _: context::Context, customer: CustomerId, wanted: Tokens) -> Tokens {
-        let given = self.book.give(&customer, wanted);
+        let given = self.book.give(&customer, wanted).await;
         tracing::info!(%customer, wanted, given, "gave tokens to a peer");
         given
     }
--- a/crates/forward/src/tab.rs
+++ b/crates/forward/src/tab.rs
@@ -8,7 +8,10 @@
     tokio::sync::Mutex as AsyncMutex,
 };
 
-use crate::{book::BudgetShortage, total::TotalAccount};
+use crate::{
+    book::BudgetShortage,
+    total::{GrantEntry, TotalAccount, late_tokens},
+};
 
 /// Part of the open tokens that must be left before the account is written again, as a divisor; an
 /// outage may begin at any moment between two writes.
@@ -31,10 +34,12 @@
     /// Room below which the account is written again.
     pub(crate) write_below: Tokens,
     pub(crate) rate: DemandRate,
-    /// Consumption up to which the stored account allows; see [`StoreLink`].
-    pub(crate) limit: Tokens,
-    /// Limit of a change that may have landed.
-    pub(crate) pending_limit: Option<Tokens>,
+    /// Consumption that the stored account allows.
+    pub(crate) limit: SpendLimit,
+    /// Limits of changes that may have landed or may land later.
+    pub(crate) pending: Vec<SpendLimit>,
+    /// Largest request that was held or asked for.
+    pub(crate) largest: Tokens,
     /// Tokens given to peers.
     pub(crate) given: Tokens,
     /// Tokens received from peers.
@@ -46,6 +51,32 @@
     pub(crate) stale: bool,
 }
 
+/// Consumption that an account row allows its run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct SpendLimit {
+    /// Tokens charged and open, by the row.
+    pub(crate) tokens: Tokens,
+    /// Tokens received from peers, by the row; what came later may be consumed on top.
+    pub(crate) received: Tokens,
+    /// Growth of the open tokens while a heartbeat is late, in tokens a second.
+    pub(crate) late_rate: Tokens,
+}
+
+impl SpendLimit {
+    pub(crate) fn of(row: GrantEntry) -> Self {
+        Self {
+            tokens: row.charged + row.open,
+            received: row.received,
+            late_rate: row.late_rate,
+        }
+    }
+
+    fn allowed(self, received: Tokens, late: Duration) -> Tokens {
+        let grown = late_tokens(self.late_rate, late);
+        (self.tokens + received + grown).saturating_sub(self.received)
+    }
+}
+
 /// Moving rate of the tokens that a customer's requests ask for.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct DemandRate {
@@ -73,21 +104,35 @@
 }
 
 impl TabDemand {
-    /// Consumption that is allowed whether or not the last change landed.
-    pub(crate) fn limit(&self) -> Tokens {
-        let pending = self.pending_limit.unwrap_or(Tokens::MAX);
-        self.limit.min(pending)
+    /// Consumption that is allowed whichever of the last changes landed, when a heartbeat has been
+    /// late for a time.
+    pub(crate) fn allowed(&self, late: Duration) -> Tokens {
+        let limits = self.pending.iter().chain([&self.limit]);
+        let allowed = limits.map(|limit| limit.allowed(self.received, late));
+        allowed.min().unwrap_or(0)
+    }
+
+    /// Notes the size of a request.
+    pub(crate) fn note_size(&mut self, amount: Tokens) {
+        self.largest = self.largest.max(amount);
+    }
+
+    /// Notes the limit of a change that is being written.
+    pub(crate) fn expect_limit(&mut self, limit: SpendLimit) {
+        self.pending.push(limit);
     }
 
-    pub(crate) fn expect_limit(&mut self, limit: Tokens) {
-        let pending = self.pending_limit.unwrap_or(Tokens::MAX);
-        self.pending_limit = Some(limit.min(pending));
+    /// Drops the limit of the newest change, which surely had no effect. A change before it without
+    /// a known outcome may still land.
+    pub(crate) fn drop_limit(&mut self) {
+        self.pending.pop();
     }
 
-    pub(crate) fn set_limit(&mut self, limit: Tokens, room: Tokens) {
+    /// Takes in a change that took effect; its expectations rule out all changes before it.
+    pub(crate) fn set_limit(&mut self, limit: SpendLimit, room: Tokens) {
         self.limit = limit;
         self.write_below = room / OPEN_LEFT;
-        self.pending_limit = None;
+        self.pending.clear();
     }
 }
 
--- a/crates/forward/src/total.rs
+++ b/crates/forward/src/total.rs
@@ -4,6 +4,8 @@
 //! `grant/VM` is the account of the router on that VM. Tokens enter an account only by a transaction
 //! over both rows, so the drawn tokens never exceed the total, whatever is lost or repeated.
 
+use std::time::Duration;
+
 use {
     bytes::Bytes,
     jasminewall_core::{BootId, CustomerId, Tokens, VmId},
@@ -43,6 +45,15 @@
     /// detached; see [`StoreLink`](crate::contact::StoreLink).
     #[serde(default)]
     pub open: Tokens,
+    /// Growth of `open` while the run's heartbeat is late, in tokens a second.
+    #[serde(default)]
+    pub late_rate: Tokens,
+}
+
+/// Tokens that come to the open ones while a heartbeat is late; rounded down.
+pub fn late_tokens(rate: Tokens, late: Duration) -> Tokens {
+    let late_ms = u64::try_from(late.as_millis()).unwrap_or(u64::MAX);
+    rate.saturating_mul(late_ms) / 1_000
 }
 
 impl GrantEntry {
@@ -51,9 +62,10 @@
         (self.granted + self.received).saturating_sub(self.returned + self.charged)
     }
 
-    /// Tokens that the run surely has not consumed if it ended in contact with the store.
-    pub fn reclaimable(&self) -> Tokens {
-        self.unspent().saturating_sub(self.open)
+    /// Tokens that the run surely has not consumed if its heartbeat was late for `late` at most.
+    pub fn reclaimable(&self, late: Duration) -> Tokens {
+        let open = self.open.saturating_add(late_tokens(self.late_rate, late));
+        self.unspent().saturating_sub(open)
     }
 }
 
@@ -73,6 +85,8 @@
     pub received: Tokens,
     /// Tokens that are open beyond `charged`.
     pub open: Tokens,
+    /// Growth of `open` while the heartbeat is late, in tokens a second.
+    pub late_rate: Tokens,
 }
 
 /// Transaction that changes an account.
@@ -95,7 +109,7 @@
     others: Tokens,
     returned: Tokens,
     known: bool,
-    predecessor: Option<BootId>,
+    predecessor: Option<(BootId, Duration)>,
 }
 
 impl TotalAccount {
@@ -114,9 +128,10 @@
         }
     }
 
-    /// Lets the account take over what a run that ended attached on this VM surely left.
-    pub fn inherit(&mut self, predecessor: BootId) {
-        self.predecessor = Some(predecessor);
+    /// Lets the account take over what a run on this VM surely left whose heartbeat was late for
+    /// `late` at most when it ended.
+    pub fn inherit(&mut self, predecessor: BootId, late: Duration) {
+        self.predecessor = Some((predecessor, late));
     }
 
     /// Whether the rows were read since the last unknown outcome.
@@ -207,6 +222,7 @@
             received: usage.received,
             charged: usage.charged,
             open: usage.open,
+            late_rate: usage.late_rate,
         };
         let drawn = self
             .pool
@@ -217,7 +233,7 @@
         if take > 0 && drawn > prepaid {
             return None;
         }
-        if own == before || (own.granted == 0 && self.own.version == 0) {
+        if own == before || (own.granted == 0 && owed == 0 && self.own.version == 0) {
             return None;
         }
         let pool = PoolRow { drawn };
@@ -264,21 +280,25 @@
     /// Tokens that the next change takes over from the run before.
     pub fn inheritance(&self) -> Tokens {
         let row = &self.own.row;
-        if self.own.version > 0 && self.predecessor == Some(row.boot) {
-            row.reclaimable()
-        } else {
-            0
+        match self.predecessor {
+            Some((boot, late)) if self.own.version > 0 && boot == row.boot => row.reclaimable(late),
+            _ => 0,
         }
     }
 
     /// Tokens of an earlier run's account that count as spent, since their use is not known.
     pub fn stranded(&self) -> Tokens {
-        if self.own.version == 0 || self.own.row.boot == self.boot {
+        if !self.is_foreign() {
             return 0;
         }
         self.own.row.unspent() - self.inheritance()
     }
 
+    /// Whether the row still shows the account of an earlier run.
+    pub fn is_foreign(&self) -> bool {
+        self.own.version > 0 && self.own.row.boot != self.boot
+    }
+
     /// Account as of the last known write.
     pub fn stored(&self) -> GrantEntry {
         self.own_entry()
--- a/crates/forward/tests/budget.rs
+++ b/crates/forward/tests/budget.rs
@@ -25,6 +25,12 @@
     book
 }
 
+/// A run that ended while its heartbeat was not late.
+fn attached(boot: u64) -> PredecessorEnd {
+    let late = Duration::ZERO;
+    PredecessorEnd::Attached { boot, late }
+}
+
 fn soon() -> Instant {
     Instant::now() + Duration::from_millis(300)
 }
@@ -113,7 +119,7 @@
     );
     assert!(open >= 900 && open < granted);
 
-    let second = book(&rows, "vm-1", 2, PredecessorEnd::Attached(1));
+    let second = book(&rows, "vm-1", 2, attached(1));
     let held = second
         .hold(&"next".into(), &customer(), 90_000, 100, soon())
         .await;
@@ -226,7 +232,7 @@
             .await;
         held.expect("the total covers the request").set_charge(100);
     }
-    let given = giver.give(&customer(), 800);
+    let given = giver.give(&customer(), 800).await;
     assert!(given > 0);
     receiver.receive(&customer(), given);
     let before = receiver.spendable(&customer());
@@ -237,7 +243,7 @@
     let left = grant(&rows, "vm-2");
     assert_eq!(left["received"].as_u64(), Some(given));
 
-    let successor = book(&rows, "vm-2", 3, PredecessorEnd::Attached(2));
+    let successor = book(&rows, "vm-2", 3, attached(2));
     successor.set_holders(4);
     let held = successor
         .hold(&"next".into(), &customer(), 80_000, 10, soon())
@@ -247,3 +253,101 @@
     let open = left["open"].as_u64().unwrap();
     assert!(successor.spendable(&customer()) + 10 >= unspent - open);
 }
+
+/// Guards against tokens of peers that cannot be used before the next write: with the store away, a
+/// request that peers have paid for was refused until the router was detached.
+#[tokio::test]
+async fn tokens_of_peers_are_usable_without_the_store() {
+    let rows = MemoryRows::new();
+    let book = book(&rows, "vm-1", 1, PredecessorEnd::Unknown);
+    book.set_holders(9);
+    let held = book
+        .hold(&"first".into(), &customer(), 90_000, 100, soon())
+        .await;
+    held.expect("the total covers the request").set_charge(100);
+    // As after a heartbeat that landed a moment ago.
+    book.link().beat_sent(Instant::now());
+    rows.set_fault(RowFault::Unavailable);
+    book.receive(&customer(), 20_000);
+    let held = book
+        .hold(&"second".into(), &customer(), 90_000, 20_000, soon())
+        .await;
+    assert!(held.is_ok());
+}
+
+/// Guards against refusals in the seconds between a late heartbeat and detaching, and against a
+/// successor that takes over what became open meanwhile.
+#[tokio::test]
+async fn a_late_heartbeat_opens_tokens_that_a_successor_leaves() {
+    let rows = MemoryRows::new();
+    let first = book(&rows, "vm-1", 1, PredecessorEnd::Unknown);
+    for number in 0..20 {
+        let request = format!("request-{number}").as_str().into();
+        let held = first
+            .hold(&request, &customer(), 900_000, 4_000, soon())
+            .await;
+        held.expect("the total covers the request")
+            .set_charge(4_000);
+    }
+    rows.set_fault(RowFault::Unavailable);
+    let late = Duration::from_millis(1_000);
+    let sent = Instant::now() - first.link().late_after() - late;
+    first.link().beat_sent(sent);
+    let mut used = 0;
+    while let Ok(mut hold) = first
+        .hold(&"late".into(), &customer(), 900_000, 2_000, soon())
+        .await
+    {
+        hold.set_charge(2_000);
+        used += 2_000;
+    }
+    let left = grant(&rows, "vm-1");
+    let field = |name: &str| left[name].as_u64().unwrap();
+    assert!(used > field("open"), "{used} tokens used, {left}");
+
+    rows.set_fault(RowFault::None);
+    let late = first.link().late_time(Instant::now());
+    let boot = 1;
+    let second = book(&rows, "vm-1", 2, PredecessorEnd::Attached { boot, late });
+    let held = second
+        .hold(&"next".into(), &customer(), 900_000, 10, soon())
+        .await;
+    drop(held.expect("the rest covers the request"));
+    let inherited = grant(&rows, "vm-1")["granted"].as_u64().unwrap();
+    let consumed = field("charged") + used;
+    assert!(
+        inherited + consumed <= field("granted"),
+        "{inherited} taken over, {left}"
+    );
+    assert!(inherited > 0);
+}
+
+/// Guards against draws of the store for each request of a router that keeps no grant: it asks those
+/// that do.
+#[tokio::test]
+async fn a_router_without_a_grant_asks_those_that_keep_one() {
+    let rows = MemoryRows::new();
+    let keeper = book(&rows, "vm-1", 1, PredecessorEnd::Unknown);
+    let held = keeper
+        .hold(&"first".into(), &customer(), 90_000, 100, soon())
+        .await;
+    held.expect("the total covers the request").set_charge(100);
+    let other = SpendBook::new(
+        HolderId::new("vm-2", 2),
+        Arc::new(rows.clone()),
+        Arc::new(peers::KeeperPeer(keeper)),
+    );
+    other.set_predecessor(PredecessorEnd::Unknown);
+    for _ in 0..5 {
+        let held = other
+            .hold(&"request".into(), &customer(), 90_000, 5_000, soon())
+            .await;
+        held.expect("the keeper gives tokens").set_charge(5_000);
+    }
+    let row = rows.get(&RowKey::new("spend", customer(), "grant/vm-2"));
+    assert!(row.is_none(), "the router drew tokens of its own");
+    let refused = other
+        .hold(&"all".into(), &customer(), 90_000, 70_000, soon())
+        .await;
+    assert_eq!(refused.err(), Some(BudgetShortage::Spent));
+}
