Bound what exchanging loads costs a router with most of a domain's callers

Change: loads go to 12 routers, every ms x routers; they are summed as they arrive; engines for long prompts are ordered only when there are any; log lines that wait are written together; a router without a grant asks ahead for 0.4 s of its demand; a silent router is logged once.

--- a/crates/forward/src/board.rs
+++ b/crates/forward/src/board.rs
@@ -140,6 +140,8 @@
     changed: HashSet<EndpointId>,
     /// Number of the last message of each router; older ones are left out.
     heard: HashMap<VmId, u64>,
+    /// When shares that are too old are dropped next.
+    expire_at: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -148,6 +150,10 @@
     running: u32,
     pending: Tokens,
     shares: HashMap<VmId, (LoadShare, Instant)>,
+    /// Sum of the running requests in `shares`.
+    shared_running: u32,
+    /// Sum of the unread tokens in `shares`.
+    shared_pending: Tokens,
     load: Option<(EndpointLoad, Instant)>,
     slowdown: FadingAverage,
     failures: FadingAverage,
@@ -198,6 +204,8 @@
             running: 0,
             pending: 0,
             shares: HashMap::new(),
+            shared_running: 0,
+            shared_pending: 0,
             load: None,
             slowdown: FadingAverage::new(1.0, now),
             failures: FadingAverage::new(0.0, now),
@@ -212,20 +220,37 @@
     }
 
     /// Requests and unread prompt tokens that all routers have at the endpoint, as far as known.
-    fn known(&self, now: Instant) -> (u32, Tokens) {
-        let fresh = self
-            .shares
-            .values()
-            .filter(|(_, heard)| now.saturating_duration_since(*heard) < SHARE_EXPIRY);
-        let start = (self.running, self.pending);
-        fresh.fold(start, |(running, pending), (share, _)| {
-            (running + share.running, pending + share.pending)
-        })
+    fn known(&self) -> (u32, Tokens) {
+        (
+            self.running + self.shared_running,
+            self.pending + self.shared_pending,
+        )
+    }
+
+    /// Takes in what another router said.
+    fn share(&mut self, vm: VmId, share: LoadShare, now: Instant) {
+        self.shared_running += share.running;
+        self.shared_pending += share.pending;
+        if let Some((before, _)) = self.shares.insert(vm, (share, now)) {
+            self.shared_running -= before.running;
+            self.shared_pending -= before.pending;
+        }
+    }
+
+    /// Drops what other routers said too long ago.
+    fn expire_shares(&mut self, now: Instant) {
+        self.shares
+            .retain(|_, (_, heard)| now.saturating_duration_since(*heard) < SHARE_EXPIRY);
+        let shares = self.shares.values().map(|(share, _)| share);
+        (self.shared_running, self.shared_pending) = shares
+            .fold((0, 0), |(running, pending), share| {
+                (running + share.running, pending + share.pending)
+            });
     }
 
     /// Requests that run and wait at the endpoint: the report while it is fresh, and those known.
     fn outstanding(&self, now: Instant) -> (f64, f64) {
-        let own = f64::from(self.known(now).0);
+        let own = f64::from(self.known().0);
         let Some((load, seen)) = self.load else {
             return (own, 0.0);
         };
@@ -288,6 +313,7 @@
             long_part: 0.0,
             changed: HashSet::new(),
             heard: HashMap::new(),
+            expire_at: None,
         }
     }
 
@@ -299,6 +325,7 @@
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<Placement> {
+        self.expire_shares(now);
         let usable = records.iter().filter(|one| !need.avoid.contains(&one.id));
         let usable: Vec<&EndpointRecord> = usable.collect();
         for record in &usable {
@@ -313,7 +340,7 @@
         let long_places = self.long_places(need, &candidates);
         let shorts = candidates.iter().copied();
         let shorts: Vec<&EndpointRecord> = shorts
-            .filter(|one| !long_places.contains(&&one.id))
+            .filter(|one| !long_places.contains(&one.id))
             .collect();
         let home = shared_home(&chain, &shorts);
         let mut costs: Vec<(f64, Tokens, &EndpointRecord)> = Vec::with_capacity(candidates.len());
@@ -323,7 +350,7 @@
                 Some(prompt) => {
                     let place = EnginePlace {
                         at_home: home == Some(&record.id),
-                        for_long: long_places.contains(&&record.id),
+                        for_long: long_places.contains(&record.id),
                         is_long,
                     };
                     self.engine_cost(stats, prompt, &chain, place, now)
@@ -352,7 +379,7 @@
                 .get(1)
                 .map(|(cost, _, other)| (other.id.clone(), *cost)),
             uncached,
-            wait_ms: self.expected_ms(stats, uncached, now),
+            wait_ms: self.expected_ms(stats, uncached),
             report_age: stats
                 .load
                 .map(|(_, seen)| now.saturating_duration_since(seen)),
@@ -370,7 +397,7 @@
         let usual = self.usual_ms;
         self.changed.insert(record.id.clone());
         let stats = self.meet(record, now);
-        let alone = stats.known(now).1 == 0;
+        let alone = stats.known().1 == 0;
         stats.running += 1;
         stats.pending += placement.uncached;
         let predicted_ms = match prompt {
@@ -467,11 +494,21 @@
         *last = number;
         for share in shares {
             if let Some(stats) = self.stats.get_mut(&share.endpoint) {
-                stats.shares.insert(vm.clone(), (share, now));
+                stats.share(vm.clone(), share, now);
             }
         }
     }
 
+    fn expire_shares(&mut self, now: Instant) {
+        if self.expire_at.is_some_and(|at| now < at) {
+            return;
+        }
+        self.expire_at = Some(now + SHARE_EXPIRY / 6);
+        for stats in self.stats.values_mut() {
+            stats.expire_shares(now);
+        }
+    }
+
     /// Forgets endpoints that are not registered any more.
     pub fn retain(&mut self, records: &[EndpointRecord]) {
         let ids: HashSet<&EndpointId> = records.iter().map(|record| &record.id).collect();
@@ -495,16 +532,16 @@
         &self,
         need: PlacementNeed<'_>,
         candidates: &[&'a EndpointRecord],
-    ) -> Vec<&'a EndpointId> {
+    ) -> HashSet<&'a EndpointId> {
         let count = candidates.len();
-        if need.prompt.is_none() || count < LONG_PLACES_FROM {
-            return Vec::new();
-        }
         let places = (count as f64 * self.long_part).round() as usize;
+        if need.prompt.is_none() || count < LONG_PLACES_FROM || places == 0 {
+            return HashSet::new();
+        }
         let mut ids: Vec<&EndpointId> = candidates.iter().map(|record| &record.id).collect();
-        ids.sort_by_key(|id| xxh3_64_with_seed(id.as_bytes(), 0));
+        ids.sort_by_cached_key(|id| xxh3_64_with_seed(id.as_bytes(), 0));
         ids.truncate(places.min(count / LONG_PLACES_MAX));
-        ids
+        ids.into_iter().collect()
     }
 
     fn note_demand(&mut self, input: Tokens, is_long: bool) {
@@ -526,7 +563,7 @@
         let assumed = if place.at_home { shared } else { 0 };
         let cached = stats.cached(chain).max(assumed);
         let uncached = prompt.input.saturating_sub(cached);
-        let (_, pending) = stats.known(now);
+        let (_, pending) = stats.known();
         let read_ms = uncached as f64 / self.prefill_rate;
         let wait_ms = pending as f64 / self.prefill_rate;
         let (running, waiting) = stats.outstanding(now);
@@ -543,8 +580,8 @@
     }
 
     /// Time to the first event, without what the engine's slowness adds.
-    fn expected_ms(&self, stats: &EndpointStats, uncached: Tokens, now: Instant) -> f64 {
-        let (running, pending) = stats.known(now);
+    fn expected_ms(&self, stats: &EndpointStats, uncached: Tokens) -> f64 {
+        let (running, pending) = stats.known();
         let read_ms = (uncached + pending) as f64 / self.prefill_rate;
         read_ms + f64::from(running) * RUNNING_COST_MS
     }
--- a/crates/forward/src/book.rs
+++ b/crates/forward/src/book.rs
@@ -37,6 +37,8 @@
 /// Smallest growth a second as a part of the grant, as a divisor, for customers without recent
 /// demand.
 const LATE_FLOOR: Tokens = 16;
+/// Time of own demand for which a router that keeps no grant asks ahead; a crash loses it.
+const ASK_COVER: Duration = Duration::from_millis(400);
 /// Longest time in which a router that gives tokens opens more of its grant; a few transactions.
 const GIVE_WAIT: Duration = Duration::from_millis(60);
 /// Time between two looks at whether a restart has accounts to take over.
@@ -82,10 +84,12 @@
 pub trait TokenPeers: Send + Sync {
     /// Whether this router keeps a grant of the customer ahead of demand.
     fn is_keeper(&self, customer: &CustomerId) -> bool;
-    /// Asks some peers for tokens of a customer; says how many they gave.
+    /// Asks peers for tokens of a customer, up to `wanted`, until there are `least`; says how many
+    /// they gave.
     fn ask<'a>(
         &'a self,
         customer: &'a CustomerId,
+        least: Tokens,
         wanted: Tokens,
     ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>>;
     /// Hands tokens to a peer that keeps a grant; says whether one took them.
@@ -252,8 +256,9 @@
     ) {
         let (book, customer) = (self.clone(), tab.customer.clone());
         let missing = amount.saturating_sub(self.room(tab).min(self.spendable(&customer)));
+        let ahead = tab.demand().rate.expect(ASK_COVER, Instant::now());
         let asked = tokio::spawn(async move {
-            let given = book.peers.ask(&customer, missing).await;
+            let given = book.peers.ask(&customer, missing, missing + ahead).await;
             book.receive(&customer, given);
             given
         });
--- a/crates/forward/src/group.rs
+++ b/crates/forward/src/group.rs
@@ -50,11 +50,13 @@
 /// Longest wait for tokens of a peer: the way there and back, and its transactions at the store.
 /// Tokens of an answer that comes later are out of use.
 const GIVE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Routers that exchange loads with one router.
-const NEIGHBOURS: usize = 24;
-/// Time in which changes of the load are put into one message; short against the time that an
-/// engine takes to read a prompt.
-const SHARE_PAUSE: Duration = Duration::from_millis(8);
+/// Routers that exchange loads with one router. A router that gets most of a failure domain's
+/// callers on a link of 10 Mbit/s has to send to all of them.
+const NEIGHBOURS: usize = 12;
+/// Time for each router of the fleet in which changes of the load are put into one message: in
+/// small fleets short against the time that an engine takes to read a prompt, in large ones long
+/// enough that the messages take a small part of a link.
+const SHARE_PAUSE_EACH: Duration = Duration::from_millis(1);
 /// Time after which loads are repeated.
 const SHARE_INTERVAL: Duration = Duration::from_secs(1);
 /// Peers to which a connection is tried before tokens are left behind at a stop.
@@ -270,6 +272,12 @@
         near.map(|(vm, link)| link.target(vm)).collect()
     }
 
+    /// Time in which changes of the load are put into one message.
+    fn share_pause(&self) -> Duration {
+        let routers = self.peers().len() + 1;
+        SHARE_PAUSE_EACH * u32::try_from(routers).unwrap_or(u32::MAX)
+    }
+
     /// Connection to a peer; opened if there is none.
     async fn connect(&self, target: &PeerTarget) -> Option<RouterPeerClient> {
         if let Some(client) = &target.client {
@@ -289,10 +297,14 @@
 
     /// Closes the connection to a router that did not answer, and leaves it out for a while.
     fn note_silence(&self, vm: &VmId) {
+        let now = Instant::now();
         if let Some(link) = self.peers().get_mut(vm) {
-            tracing::info!(%vm, "a router does not answer");
+            // Several calls to one router may fail at once.
+            if link.may_answer(now) {
+                tracing::info!(%vm, "a router does not answer");
+            }
             link.client = None;
-            link.silent_until = Some(Instant::now() + SILENT_PAUSE);
+            link.silent_until = Some(now + SILENT_PAUSE);
         }
     }
 
@@ -332,6 +344,7 @@
     fn ask<'a>(
         &'a self,
         customer: &'a CustomerId,
+        least: Tokens,
         wanted: Tokens,
     ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>> {
         Box::pin(async move {
@@ -347,7 +360,7 @@
                 Vec::new()
             };
             for target in keepers.into_iter().chain(others) {
-                if total >= wanted {
+                if total >= least {
                     break;
                 }
                 let Some(client) = self.connect(&target).await else {
@@ -470,7 +483,7 @@
         if repeat {
             repeat_at = Instant::now() + SHARE_INTERVAL;
         } else {
-            tokio::time::sleep(SHARE_PAUSE).await;
+            tokio::time::sleep(group.share_pause()).await;
         }
         let shares = engine.take_shares(repeat);
         if shares.is_empty() {
--- a/crates/forward/tests/support/peers.rs
+++ b/crates/forward/tests/support/peers.rs
@@ -19,6 +19,7 @@
         &'a self,
         _: &'a CustomerId,
         _: Tokens,
+        _: Tokens,
     ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>> {
         Box::pin(async { 0 })
     }
@@ -47,6 +48,7 @@
     fn ask<'a>(
         &'a self,
         customer: &'a CustomerId,
+        _: Tokens,
         wanted: Tokens,
     ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>> {
         Box::pin(self.0.give(customer, wanted))
--- a/crates/router/src/telemetry.rs
+++ b/crates/router/src/telemetry.rs
@@ -1,7 +1,7 @@
 //! Logs and metrics.
 
 use std::{
-    io::IsTerminal,
+    io::{BufWriter, IsTerminal},
     net::{SocketAddr, UdpSocket},
     time::Duration,
 };
@@ -55,6 +55,9 @@
 /// Lines that wait for the reader of the log; more are dropped and counted, so that a reader that
 /// stops reading delays no request. At 300 bytes a line they fit into 1.2 MB.
 const LINE_LIMIT: usize = 4_096;
+/// Buffer in which waiting lines are put into one write to standard output, in bytes; some thirty
+/// lines.
+const STDOUT_BUFFER: usize = 8 << 10;
 
 /// Starts logging to standard output without ever waiting for its reader; the guard writes the last
 /// lines when it is dropped.
@@ -68,7 +71,7 @@
     let (writer, worker) = NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(LINE_LIMIT)
-        .finish(std::io::stdout());
+        .finish(BufWriter::with_capacity(STDOUT_BUFFER, std::io::stdout()));
     let dropped = writer.error_counter();
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
