--- a/crates/forward/tests/choice.rs
+++ b/crates/forward/tests/choice.rs
@@ -99,6 +99,35 @@
     assert_eq!(again.expect("there are engines").record.id, home);
 }
 
+/// Guards against sums of other routers' loads that drift: what a router says replaces what it said
+/// before, and the load of a router that fell silent counts no more after three seconds.
+#[test]
+fn loads_of_silent_routers_are_forgotten() {
+    let (records, start) = (engines(3), Instant::now());
+    let prompt = prompt(7, 5_000);
+    let mut board = EndpointBoard::new("a".into());
+    let mut rng = StdRng::seed_from_u64(1);
+    let home = board.choose(&records, need(&prompt), start, &mut rng);
+    let home = home.expect("there are engines").record.id;
+    for number in 1..60 {
+        let share = LoadShare {
+            endpoint: home.clone(),
+            running: number % 7,
+            pending: 200_000,
+        };
+        for vm in ["vm-2", "vm-3"] {
+            board.hear(&vm.into(), u64::from(number), vec![share.clone()], start);
+        }
+    }
+    let other = board.choose(&records, need(&prompt), start, &mut rng);
+    assert_ne!(other.expect("there are engines").record.id, home);
+    let later = start + Duration::from_secs(4);
+    let again = board.choose(&records, need(&prompt), later, &mut rng);
+    let again = again.expect("there are engines");
+    assert_eq!(again.record.id, home);
+    assert!(again.wait_ms < 200.0, "{} ms to wait", again.wait_ms);
+}
+
 /// Guards against endpoints that fail most requests and still get their full part, and against
 /// never trying them again.
 #[test]
