Hand whole grants to peers when a router stops without the store

Change: without contact a stop waits until the router is detached, up to its exit, and then hands over all; with contact it returns to the store. Test: budget, a_stop_without_the_store_hands_whole_grants_to_a_peer.

--- a/crates/forward/src/book.rs
+++ b/crates/forward/src/book.rs
@@ -41,6 +41,8 @@
 const ASK_COVER: Duration = Duration::from_millis(400);
 /// Longest time in which a router that gives tokens opens more of its grant; a few transactions.
 const GIVE_WAIT: Duration = Duration::from_millis(60);
+/// Time between two looks at whether a stopping router is detached.
+const DETACH_POLL: Duration = Duration::from_millis(20);
 /// Time between two looks at whether a restart has accounts to take over.
 const INHERIT_POLL: Duration = Duration::from_millis(50);
 /// Smallest open part of a grant, as a divisor, for customers without recent demand.
@@ -354,28 +356,52 @@
     }
 
     /// Hands back all tokens that no request holds, to the store or, while it does not answer, to
-    /// peers.
+    /// peers. They get whole grants only once this router is detached, which is waited for.
     pub async fn return_all(&self, deadline: Instant) {
         self.closed.store(true, Ordering::Relaxed);
         let tabs: Vec<Arc<SpendTab>> = self.tabs().values().cloned().collect();
+        let mut left = Vec::new();
         for tab in tabs {
-            let spare = self.spendable(&tab.customer);
-            let returned = if self.is_store_paused() {
-                None
-            } else {
-                let hand_back = self.hand_back(&tab, spare);
-                timeout_at(deadline.into(), hand_back).await.ok()
-            };
-            if returned == Some(Ok(())) {
-                tracing::info!(customer = %tab.customer, tokens = spare, "returned tokens at the stop");
+            if !self.return_spare(&tab, deadline).await {
+                left.push(tab);
+            }
+        }
+        while !left.is_empty() && Instant::now() < deadline {
+            let is_detached = self.link().mode(Instant::now()) == ContactMode::Detached;
+            if is_detached || self.has_contact() {
+                break;
+            }
+            tokio::time::sleep(DETACH_POLL).await;
+        }
+        for tab in left {
+            if self.return_spare(&tab, deadline).await {
                 continue;
             }
-            let tokens = self.take_out(&tab, spare);
+            let tokens = self.take_out(&tab, self.spendable(&tab.customer));
             let kept = self.peers.deposit(&tab.customer, tokens).await;
             tracing::info!(customer = %tab.customer, tokens, kept, "gave tokens to a peer at the stop");
         }
     }
 
+    /// Returns what no request holds to the store; `false` when it does not answer.
+    async fn return_spare(&self, tab: &SpendTab, deadline: Instant) -> bool {
+        if !self.has_contact() {
+            return false;
+        }
+        let tokens = self.spendable(&tab.customer);
+        let returned = timeout_at(deadline.into(), self.hand_back(tab, tokens)).await;
+        let done = matches!(returned, Ok(Ok(())));
+        tracing::info!(customer = %tab.customer, tokens, done, "returned tokens at the stop");
+        done
+    }
+
+    /// Whether the store answered a moment ago.
+    fn has_contact(&self) -> bool {
+        let now = Instant::now();
+        let link = *self.link();
+        !self.is_store_paused() && link.mode(now) == ContactMode::Attached && !link.is_waiting(now)
+    }
+
     /// Adds tokens that a peer hands over.
     pub fn receive(&self, customer: &CustomerId, tokens: Tokens) {
         let tab = self.tab(customer);
--- a/crates/forward/src/contact.rs
+++ b/crates/forward/src/contact.rs
@@ -23,6 +23,9 @@
 /// Delay of a heartbeat beyond which it counts as late; calls of a slow store take a few hundred ms.
 const LATE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Longest time that the store usually takes to answer a heartbeat.
+const USUAL_ANSWER: Duration = Duration::from_millis(100);
+
 /// Whether a run may consume whole grants.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ContactMode {
@@ -139,6 +142,12 @@
         (self.unresolved && now < at).then_some(at)
     }
 
+    /// Whether the store owes the answer to a heartbeat for longer than answers usually take.
+    pub fn is_waiting(&self, now: Instant) -> bool {
+        let sent = self.sent.filter(|_| self.unresolved);
+        sent.is_some_and(|sent| now.saturating_duration_since(sent) > USUAL_ANSWER)
+    }
+
     /// Whether a heartbeat may be sent. While the outcome of one is unknown, another one would put
     /// off the time from which whole grants may be consumed.
     pub fn may_beat(&self, now: Instant) -> bool {
--- a/crates/forward/src/engine.rs
+++ b/crates/forward/src/engine.rs
@@ -116,6 +116,12 @@
         *self.stop.lock().unwrap_or_else(PoisonError::into_inner) = Some(window);
     }
 
+    /// End of the process, once a stop is planned.
+    pub(crate) fn exit_at(&self) -> Option<Instant> {
+        let stop = *self.stop.lock().unwrap_or_else(PoisonError::into_inner);
+        stop.map(|stop| stop.exit_at)
+    }
+
     fn is_too_late(&self, deadline: Instant) -> bool {
         let stop = *self.stop.lock().unwrap_or_else(PoisonError::into_inner);
         stop.is_some_and(|stop| Instant::now() >= stop.refuse_at && deadline > stop.exit_at)
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -148,7 +148,8 @@
 
     /// Hands back all tokens and the registration.
     pub async fn finish(&self) {
-        let deadline = Instant::now() + RETURN_LIMIT;
+        let soon = Instant::now() + RETURN_LIMIT;
+        let deadline = self.engine.exit_at().map_or(soon, |exit| exit.max(soon));
         self.book.return_all(deadline).await;
         let gone = tokio::time::timeout_at(deadline.into(), self.peers.unregister()).await;
         if !matches!(gone, Ok(Ok(()))) {
--- a/crates/forward/tests/budget.rs
+++ b/crates/forward/tests/budget.rs
@@ -381,3 +381,33 @@
     }
     assert_eq!(rows.transactions(), before);
 }
+
+/// Guards against grants that are stranded by a stop while the store is away: a peer gets all of them
+/// once the router is detached (llvc-auth trouble-2).
+#[tokio::test]
+async fn a_stop_without_the_store_hands_whole_grants_to_a_peer() {
+    for fault in [RowFault::Unavailable, RowFault::LostAnswers] {
+        let rows = MemoryRows::new();
+        let keeper = book(&rows, "vm-1", 1, PredecessorEnd::Unknown);
+        let stopping = SpendBook::new(
+            HolderId::new("vm-2", 2),
+            Arc::new(rows.clone()),
+            Arc::new(peers::KeeperPeer(keeper.clone())),
+        );
+        stopping.set_predecessor(PredecessorEnd::Unknown);
+        let held = stopping
+            .hold(&"request".into(), &customer(), 90_000, 60_000, soon())
+            .await;
+        held.expect("the total covers the request").set_charge(100);
+        let spare = stopping.spendable(&customer());
+        rows.set_fault(fault);
+        // The last heartbeat was written a moment before the store went away.
+        let detaches_in = Duration::from_millis(300);
+        let sent = Instant::now() + detaches_in - stopping.link().detach_after();
+        stopping.link().beat_sent(sent);
+        let before = keeper.spendable(&customer());
+        stopping.return_all(soon() + detaches_in).await;
+        let given = keeper.spendable(&customer()) - before;
+        assert_eq!(given, spare, "{fault:?}");
+    }
+}
