Ask ahead for tokens once at a time, and only without a grant

Change: only routers that keep no grant ask ahead, once in that time. Test: budget, requests_that_ask_at_the_same_time_ask_ahead_once.

--- a/crates/forward/src/book.rs
+++ b/crates/forward/src/book.rs
@@ -37,8 +37,6 @@
 /// Smallest growth a second as a part of the grant, as a divisor, for customers without recent
 /// demand.
 const LATE_FLOOR: Tokens = 16;
-/// Time of own demand for which a router that keeps no grant asks ahead; a crash loses it.
-const ASK_COVER: Duration = Duration::from_millis(400);
 /// Longest time in which a router that gives tokens opens more of its grant; a few transactions.
 const GIVE_WAIT: Duration = Duration::from_millis(60);
 /// Time between two looks at whether a stopping router is detached.
@@ -258,7 +256,8 @@
     ) {
         let (book, customer) = (self.clone(), tab.customer.clone());
         let missing = amount.saturating_sub(self.room(tab).min(self.spendable(&customer)));
-        let ahead = tab.demand().rate.expect(ASK_COVER, Instant::now());
+        let is_keeper = self.peers.is_keeper(&customer);
+        let ahead = tab.demand().ask_ahead(is_keeper, Instant::now());
         let asked = tokio::spawn(async move {
             let given = book.peers.ask(&customer, missing, missing + ahead).await;
             book.receive(&customer, given);
--- a/crates/forward/src/tab.rs
+++ b/crates/forward/src/tab.rs
@@ -19,6 +19,9 @@
 /// Time constant of the demand of a customer; short enough to follow a swing within seconds.
 const DEMAND_WINDOW: Duration = Duration::from_secs(5);
 
+/// Time of own demand for which a router that keeps no grant asks ahead; a crash loses it.
+const ASK_COVER: Duration = Duration::from_millis(400);
+
 /// State of one customer. Lock order: `account`, then the ledger, then `demand`.
 pub(crate) struct SpendTab {
     pub(crate) customer: CustomerId,
@@ -38,6 +41,8 @@
     pub(crate) limit: SpendLimit,
     /// Limits of changes that may have landed or may land later.
     pub(crate) pending: Vec<SpendLimit>,
+    /// Time until which tokens were asked for ahead.
+    pub(crate) ahead_until: Option<Instant>,
     /// Largest request that was held.
     pub(crate) largest: Tokens,
     /// Tokens given to peers.
@@ -127,6 +132,16 @@
         (pool.until > now && missing > pool.free).then_some(pool.shortage)
     }
 
+    /// Tokens that are asked for beyond what a request lacks. Keepers have grants of their own, and
+    /// requests that ask at the same time would add up.
+    pub(crate) fn ask_ahead(&mut self, is_keeper: bool, now: Instant) -> Tokens {
+        if is_keeper || self.ahead_until.is_some_and(|until| now < until) {
+            return 0;
+        }
+        self.ahead_until = Some(now + ASK_COVER);
+        self.rate.expect(ASK_COVER, now)
+    }
+
     /// Notes the size of a request.
     pub(crate) fn note_size(&mut self, amount: Tokens) {
         self.largest = self.largest.max(amount);
--- a/crates/forward/tests/budget.rs
+++ b/crates/forward/tests/budget.rs
@@ -411,3 +411,37 @@
         assert_eq!(given, spare, "{fault:?}");
     }
 }
+
+/// Guards against tokens that pile up at one router: requests that asked peers at the same time each
+/// asked ahead as well, and a crash lost all of it (llvc-auth scale-1).
+#[tokio::test]
+async fn requests_that_ask_at_the_same_time_ask_ahead_once() {
+    for (is_keeper, most) in [(true, 0), (false, 1)] {
+        let rows = MemoryRows::new();
+        let asked = Arc::new(peers::AskedPeers {
+            is_keeper,
+            asked: std::sync::Mutex::default(),
+        });
+        let book = SpendBook::new(
+            HolderId::new("vm-1", 1),
+            Arc::new(rows.clone()),
+            asked.clone(),
+        );
+        book.set_predecessor(PredecessorEnd::Unknown);
+        let held = book
+            .hold(&"first".into(), &customer(), 90_000, 20_000, soon())
+            .await;
+        held.expect("the total covers the request")
+            .set_charge(20_000);
+        rows.set_fault(RowFault::Unavailable);
+        let request = "request".into();
+        let name = customer();
+        let hold = || book.hold(&request, &name, 90_000, 89_000, soon());
+        let results = tokio::join!(hold(), hold(), hold());
+        assert!(results.0.is_err() && results.1.is_err() && results.2.is_err());
+        let asked = asked.asked.lock().unwrap();
+        let ahead = asked.iter().filter(|(least, wanted)| wanted > least);
+        let ahead = ahead.filter(|(least, _)| *least > 60_000).count();
+        assert!(asked.len() >= 3 && ahead <= most, "{is_keeper}: {asked:?}");
+    }
+}
--- a/crates/forward/tests/support/peers.rs
+++ b/crates/forward/tests/support/peers.rs
@@ -1,6 +1,9 @@
 //! Peers without tokens, and one that keeps a grant.
 
-use std::{pin::Pin, sync::Arc};
+use std::{
+    pin::Pin,
+    sync::{Arc, Mutex},
+};
 
 use {
     jasminewall_core::{CustomerId, Tokens},
@@ -63,3 +66,39 @@
         Box::pin(async { true })
     }
 }
+
+/// Peers without tokens that note what they were asked for.
+#[allow(
+    dead_code,
+    reason = "not every test file that shares this module needs it"
+)]
+pub(crate) struct AskedPeers {
+    pub(crate) is_keeper: bool,
+    /// Least and wanted tokens of each question.
+    pub(crate) asked: Mutex<Vec<(Tokens, Tokens)>>,
+}
+
+impl TokenPeers for AskedPeers {
+    fn is_keeper(&self, _: &CustomerId) -> bool {
+        self.is_keeper
+    }
+
+    fn ask<'a>(
+        &'a self,
+        _: &'a CustomerId,
+        least: Tokens,
+        wanted: Tokens,
+    ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>> {
+        let mut asked = self.asked.lock().expect("no holder panicked");
+        asked.push((least, wanted));
+        Box::pin(async { 0 })
+    }
+
+    fn deposit<'a>(
+        &'a self,
+        _: &'a CustomerId,
+        _: Tokens,
+    ) -> Pin<Box<dyn Future<Output = bool> + Send + 'a>> {
+        Box::pin(async { false })
+    }
+}
