--- a/crates/forward/src/book.rs
+++ b/crates/forward/src/book.rs
@@ -26,10 +26,10 @@
 /// store of a quarter of the time for which a total lasts, at twice the usual demand; the rest is
 /// what a crash of every router leaves.
 const STANDING_SHARE: f64 = 0.75;
-/// Time of own demand that is open to consumption before the next write: from half of it on, it
-/// covers the time until a heartbeat is late. A crash loses it, and a budget counts as spent by
-/// callers' bounds when 3 in 100 are left, about 1.3 seconds of the demand for which a total is made
-/// on the users' platform.
+/// Time of own demand that is open to consumption before the next write. An account is written again
+/// when half of it is used, and the other half lasts until a heartbeat is late. A crash loses the
+/// open tokens, and a budget counts as spent by callers' bounds when 3 in 100 are left, about 1.3
+/// seconds of the demand for which a total is made on the users' platform.
 const OPEN_COVER: Duration = Duration::from_millis(900);
 /// Growth of the open tokens while a heartbeat is late, in multiples of the own demand; the demand
 /// may rise during an outage.
