Withdraw readiness while callers fill the link

Change: a router counts its callers' bytes. Over half of the link it asks for no new connections, for four seconds or more, and closes kept ones after their answers once the platform has noticed. The settings name the link's speed; without it nothing changes. Tests: choice, a_crowded_link_withdraws_readiness_for_a_while; setting.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -22,6 +22,7 @@
 mod fleet;
 mod follow;
 mod group;
+mod link;
 mod metric;
 mod node;
 pub mod peer;
@@ -41,6 +42,7 @@
     book::{BudgetHold, BudgetShortage, PredecessorEnd, SpendBook, TokenPeers},
     engine::{ForwardEngine, StopWindow},
     fleet::FleetView,
+    link::LinkMeter,
     metric::METRIC_NAMES,
     node::{ForwardNode, ForwardPorts},
     setting::ForwardSetting,
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -19,6 +19,7 @@
     fleet::FleetView,
     follow,
     group::{self, PeerGroup},
+    link::LinkMeter,
     peer::{self, PeerRecord},
     port::{EndpointPort, RecordPort},
     setting::{FleetBounds, ForwardSetting},
@@ -44,6 +45,8 @@
 pub struct ForwardNode {
     /// Serves requests.
     pub engine: Arc<ForwardEngine>,
+    /// Use of the link by callers.
+    pub link: Arc<LinkMeter>,
     view: Arc<FleetView>,
     book: Arc<SpendBook>,
     peers: Arc<PeerGroup>,
@@ -112,6 +115,7 @@
         ];
         Ok(Arc::new(Self {
             engine,
+            link: Arc::new(LinkMeter::new(setting.link_mbps)),
             view,
             book,
             peers,
@@ -122,7 +126,12 @@
 
     /// Whether new connections should come here.
     pub fn is_ready(&self) -> bool {
-        self.view.is_ready() && !self.is_stopping()
+        self.view.is_ready() && !self.is_stopping() && !self.link.is_crowded(Instant::now())
+    }
+
+    /// Whether kept connections of callers should be closed after their answers.
+    pub fn is_closing(&self) -> bool {
+        self.is_stopping() || self.link.closes(Instant::now())
     }
 
     /// Whether the router leaves.
--- a/crates/forward/src/setting.rs
+++ b/crates/forward/src/setting.rs
@@ -11,7 +11,14 @@
 pub const FORWARD_KEYS: &[(&str, &[&str])] = &[
     (
         "router",
-        &["vm", "failure_domain", "listen", "readiness", "peer_listen"],
+        &[
+            "vm",
+            "failure_domain",
+            "listen",
+            "readiness",
+            "peer_listen",
+            "link_mbps",
+        ],
     ),
     ("store", &["address"]),
     (
@@ -60,6 +67,8 @@
     pub readiness: SocketAddr,
     /// Address for other routers.
     pub peer_listen: SocketAddr,
+    /// Speed of the VM's network link in Mbit/s, if it is known.
+    pub link_mbps: Option<f64>,
     /// Address of the store.
     pub store: SocketAddr,
     /// Bounds of the fleet.
@@ -83,6 +92,7 @@
             listen: reader.parse("router", "listen", "ip:port", None),
             readiness: reader.parse("router", "readiness", "ip:port", None),
             peer_listen: reader.parse("router", "peer_listen", "ip:port", None),
+            link_mbps: read_speed(&mut reader),
             store: reader.parse("store", "address", "ip:port", None),
             bounds: FleetBounds {
                 grace: read_seconds(&mut reader, "grace_s", bounds.grace),
@@ -97,6 +107,15 @@
     }
 }
 
+fn read_speed(reader: &mut SettingReader) -> Option<f64> {
+    let speed: f64 = reader.optional("router", "link_mbps", "a number over 0")?;
+    if speed.is_finite() && speed > 0.0 {
+        return Some(speed);
+    }
+    reader.fault("[router] link_mbps: write a number over 0".to_owned());
+    None
+}
+
 fn read_share(reader: &mut SettingReader, key: &str, default: f64) -> f64 {
     let value = reader.optional("bounds", key, "a number from 0");
     let value = value.unwrap_or(default);
--- a/crates/forward/tests/choice.rs
+++ b/crates/forward/tests/choice.rs
@@ -4,7 +4,7 @@
 
 use {
     jasminewall_forward::{
-        EndpointBoard, EventSplitter, LoadShare, PlacementNeed,
+        EndpointBoard, EventSplitter, LinkMeter, LoadShare, PlacementNeed,
         port::EndpointLoad,
         record::{EndpointRecord, EndpointState},
         request::{PromptNeed, PromptPart},
@@ -238,3 +238,31 @@
         assert!(splitter.has_rest());
     }
 }
+
+/// Guards against a router that keeps most callers of its domain while they fill its link, so that
+/// configurations arrive late (llvc-auth-grown trouble-1), and against one that leaves for a burst
+/// or never comes back.
+#[test]
+fn a_crowded_link_withdraws_readiness_for_a_while() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let meter = LinkMeter::new(Some(10.0));
+    // 10 Mbit/s are 1,250 kB/s; 200 requests a second of 4 kB are 920 kB/s with their heads.
+    for step in 0..400 {
+        meter.note_request(4_000, at(step * 5));
+    }
+    assert!(meter.is_crowded(at(2_000)));
+    assert!(!meter.closes(at(2_000)), "the platform has not noticed yet");
+    assert!(meter.closes(at(4_000)));
+    // The callers go; it stays away for four seconds in all.
+    assert!(meter.is_crowded(at(4_500)));
+    assert!(!meter.is_crowded(at(7_500)));
+    assert!(!meter.closes(at(7_600)));
+    // A short burst, and a link of unknown speed.
+    let unknown = LinkMeter::new(None);
+    for step in 0..50 {
+        meter.note_request(4_000, at(8_000 + step * 5));
+        unknown.note_request(1 << 20, at(8_000 + step * 5));
+    }
+    assert!(!meter.is_crowded(at(9_500)) && !unknown.is_crowded(at(9_500)));
+}
--- a/crates/forward/tests/setting.rs
+++ b/crates/forward/tests/setting.rs
@@ -19,6 +19,7 @@
         ("Bounds.RetryBudgetRatio", "0.2"),
         ("Bounds.RetryWindowS", "10"),
         ("Bounds.RetrySlack", "58"),
+        ("Limits.LinkMbps", "10.0"),
     ];
     values.iter().fold(text.to_owned(), |text, (name, value)| {
         text.replace(&format!("{{{{{name}}}}}"), value)
@@ -42,6 +43,9 @@
         (0.2, 58.0)
     );
     assert_eq!(setting.peer_listen.to_string(), "10.1.0.40:7340");
+    assert_eq!(setting.link_mbps, Some(10.0));
+    let stopped = text.replace("link_mbps = 10.0", "link_mbps = 0");
+    assert!(stopped.parse::<ForwardSetting>().is_err());
     let halves = text.replace("grace_s = 8", "grace_s = 7.5");
     let setting: ForwardSetting = halves.parse().expect("fractions are valid");
     assert_eq!(setting.bounds.grace, Duration::from_millis(7_500));
