Keep a dead giver's tokens until all receivers are known

The settlement of vm-1 saw that it had given more than its row covers and took its balance as 0, and vm-3 returned its whole balance because the charges of vm-1 were complete.

Change: a dead row counts as conclusive only when it covers everything that it gave, shows every transfer that other rows show, and no live row may still receive from it. A settlement records transfers from dead givers for tokens that a dead receiver passed on, as it did for charges.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -188,6 +188,13 @@
         (self.granted + self.received_total())
             .saturating_sub(self.returned + self.given_total() + self.charged)
     }
+
+    /// Tokens that left the account beyond those it records as granted or received. They came from
+    /// a peer whose transfer the account does not show yet.
+    pub fn shortfall(&self) -> Tokens {
+        (self.returned + self.given_total() + self.charged)
+            .saturating_sub(self.granted + self.received_total())
+    }
 }
 
 /// Moves tokens from the pool to a holder, at most those that are free; returns their number.
@@ -235,17 +242,34 @@
 pub fn can_fold(row: &GrantRow, others: &[GrantRow]) -> bool {
     let empty = row.accounts.values().all(|account| account.balance() == 0);
     let is_settled = |other: &GrantRow| {
-        let is_final =
-            transfers_final(row, other) || row.closed_peers.contains(&holder_key(&other.holder));
+        let is_final = transfers_final(row, other, others)
+            || row.closed_peers.contains(&holder_key(&other.holder));
         is_final && transfers_match(row, other)
     };
     row.closed && row.exact && empty && others.iter().all(is_settled)
 }
 
 /// Whether the transfers between a closed row and another holder are final on the other side.
-pub(crate) fn transfers_final(row: &GrantRow, other: &GrantRow) -> bool {
-    let proven = other.closed && other.exact;
-    proven || other.closed_peers.contains(&holder_key(&row.holder))
+/// `others` are all rows of the shard except `row`.
+pub(crate) fn transfers_final(row: &GrantRow, other: &GrantRow, others: &[GrantRow]) -> bool {
+    other.closed_peers.contains(&holder_key(&row.holder)) || is_conclusive(other, others)
+}
+
+/// Whether a closed row shows everything that its holder received: its charges are complete, and so
+/// are the tokens that it gave, according to all other rows. A holder that gave more than its row
+/// can cover got the rest from a peer.
+fn is_conclusive(row: &GrantRow, others: &[GrantRow]) -> bool {
+    let key = holder_key(&row.holder);
+    let is_covered = row
+        .accounts
+        .values()
+        .all(|account| account.shortfall() == 0);
+    let shows_gifts = |other: &GrantRow| {
+        let has_ended = other.closed && other.exact || other.closed_peers.contains(&key);
+        has_ended && transfers_match(row, other)
+    };
+    let mut peers = others.iter().filter(|other| other.holder != row.holder);
+    row.closed && row.exact && is_covered && peers.all(shows_gifts)
 }
 
 /// Whether two rows record the same amounts for their transfers.
--- a/crates/core/src/settle.rs
+++ b/crates/core/src/settle.rs
@@ -85,12 +85,13 @@
     evidence: &SettlementEvidence,
 ) -> SettleOutcome {
     reconcile_transfers(row, others);
+    cover_shortfalls(row, others);
     let charged = charge_evidence(row, others, evidence);
     row.exact |= evidence.all_listed() && charged.is_complete;
     // Peers that may still exchange tokens with the holder could have received part of its balance.
     let all_final = others
         .iter()
-        .all(|other| budget::transfers_final(row, other));
+        .all(|other| budget::transfers_final(row, other, others));
     let mut outcome = SettleOutcome {
         charged: charged.tokens,
         ..SettleOutcome::default()
@@ -212,31 +213,60 @@
     result
 }
 
+/// Records transfers from dead givers for tokens that the row is known to have given but cannot
+/// cover. What no giver can cover yet is left for a later settlement.
+fn cover_shortfalls(row: &mut GrantRow, others: &[GrantRow]) {
+    for budget in row.accounts.keys().cloned().collect::<Vec<_>>() {
+        let missing = row.accounts[&budget].shortfall();
+        let (transfers, _) = find_transfers(row, others, &budget, missing);
+        record_received(row, &budget, transfers);
+    }
+}
+
 /// Covers a proven charge from the balance and from unrecorded transfers, which are recorded as
 /// received. Returns `false` without effect if the charge cannot be covered.
+fn cover_charge(row: &mut GrantRow, others: &[GrantRow], charge: &ChargeEvidence) -> bool {
+    let account = row.accounts.entry(charge.budget.clone()).or_default();
+    let missing = (charge.tokens + account.shortfall()).saturating_sub(account.balance());
+    let (transfers, is_covered) = find_transfers(row, others, &charge.budget, missing);
+    if is_covered {
+        record_received(row, &charge.budget, transfers);
+    }
+    is_covered
+}
+
+/// Finds unrecorded transfers that add up to `missing` tokens, and whether they do.
 ///
 /// Tokens that the balance lacks must have come from a peer whose row does not show the transfer. If
 /// that giver is dead as well and its charges are complete, its balance must contain them, and its
 /// settlement records them as given.
-fn cover_charge(row: &mut GrantRow, others: &[GrantRow], charge: &ChargeEvidence) -> bool {
+fn find_transfers(
+    row: &GrantRow,
+    others: &[GrantRow],
+    budget: &BudgetId,
+    mut missing: Tokens,
+) -> (Vec<(HolderKey, Tokens)>, bool) {
     let key = holder_key(&row.holder);
-    let account = row.accounts.entry(charge.budget.clone()).or_default();
-    let mut missing = charge.tokens.saturating_sub(account.balance());
+    let received = row.accounts.get(budget).map(|account| &account.received);
     let mut transfers = Vec::new();
     for giver in others.iter().filter(|other| other.closed && other.exact) {
-        let recorded = account.received.get(&holder_key(&giver.holder));
-        let available = available_balance(giver, others, &charge.budget, &key, recorded.copied());
+        let giver_key = holder_key(&giver.holder);
+        let recorded = received.and_then(|received| received.get(&giver_key));
+        let available = available_balance(giver, others, budget, &key, recorded.copied());
         let tokens = available.min(missing);
         missing -= tokens;
-        transfers.push((holder_key(&giver.holder), tokens));
-    }
-    if missing > 0 {
-        return false;
+        if tokens > 0 {
+            transfers.push((giver_key, tokens));
+        }
     }
-    for (giver, tokens) in transfers.into_iter().filter(|(_, tokens)| *tokens > 0) {
+    (transfers, missing == 0)
+}
+
+fn record_received(row: &mut GrantRow, budget: &BudgetId, transfers: Vec<(HolderKey, Tokens)>) {
+    let account = row.accounts.entry(budget.clone()).or_default();
+    for (giver, tokens) in transfers {
         *account.received.entry(giver).or_default() += tokens;
     }
-    true
 }
 
 /// Balance of a dead giver minus the tokens that other rows received from it and that its own row
--- a/crates/core/tests/spend_settle.rs
+++ b/crates/core/tests/spend_settle.rs
@@ -173,3 +173,71 @@
     ];
     insta::assert_snapshot!(text.concat());
 }
+
+/// Row of a dead holder that was granted and charged tokens of one budget.
+fn ended_row(vm: &str, boot: u64, granted: Tokens, charged: Tokens) -> GrantRow {
+    let mut row = GrantRow::new(HolderId::new(vm, boot));
+    row.closed = true;
+    let account = GrantAccount {
+        granted,
+        charged,
+        transferable: granted,
+        ..GrantAccount::default()
+    };
+    row.accounts.insert("glass".into(), account);
+    row
+}
+
+/// Guards against an overspend when tokens pass through two dead holders: the first gave to the
+/// second, the second gave to a live one, and neither dead row shows a transfer. The first must
+/// keep its balance until the live holder has recorded what it received. Found by `spend_schedules`
+/// with seed 13620618488482924120.
+#[test]
+fn a_dead_giver_keeps_tokens_that_a_dead_receiver_passed_on() {
+    let mut first = ended_row("vm-3", 3, 139, 0);
+    let mut second = ended_row("vm-1", 1, 84, 82);
+    let mut live = GrantRow::new(HolderId::new("vm-0", 0));
+    let mut pool = PoolRow::default();
+    let no_charges = SettlementEvidence::default();
+
+    settle_row(
+        &mut pool,
+        &mut second,
+        &[first.clone(), live.clone()],
+        &no_charges,
+    );
+    settle_row(
+        &mut pool,
+        &mut first,
+        &[second.clone(), live.clone()],
+        &no_charges,
+    );
+    assert_eq!(
+        pool.budgets["glass"].free, 0,
+        "the live holder may have received"
+    );
+
+    // The second had 2 tokens left, so 3 of these 5 came from the first.
+    let mut account = GrantAccount::default();
+    account.received.insert(holder_key(&second.holder), 5);
+    live.accounts.insert("glass".into(), account);
+    live.closed_peers = [&first, &second].map(|row| holder_key(&row.holder)).into();
+    settle_row(
+        &mut pool,
+        &mut first,
+        &[second.clone(), live.clone()],
+        &no_charges,
+    );
+    assert_eq!(
+        pool.budgets["glass"].free, 0,
+        "the second has not recorded its receipt"
+    );
+    settle_row(
+        &mut pool,
+        &mut second,
+        &[first.clone(), live.clone()],
+        &no_charges,
+    );
+    settle_row(&mut pool, &mut first, &[second, live], &no_charges);
+    assert_eq!(pool.budgets["glass"].free, 136);
+}
