--- a/crates/forward/src/balancer.rs
+++ b/crates/forward/src/balancer.rs
@@ -1,11 +1,12 @@
 use std::{
     collections::{HashMap, HashSet},
+    net::SocketAddr,
     time::{Duration, Instant},
 };
 
 use {
     jasminewall_core::{DomainId, EndpointId, Tokens, VmId},
-    rand::Rng,
+    rand::{Rng, seq::index},
     serde::{Deserialize, Serialize},
     xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed},
 };
@@ -44,6 +45,9 @@
 /// Cost in ms of using an endpoint of another failure domain, for the longer round trip and the
 /// price of the traffic.
 const CROSS_DOMAIN_COST_MS: f64 = 5.0;
+/// Cost in ms of opening a connection. The operators rate one as bad as reading a few hundred tokens
+/// of a shared part again.
+const CONNECT_COST_MS: f64 = 60.0;
 /// Cost in ms of a certain failure; a few times the usual target latencies.
 const FAILURE_COST_MS: f64 = 1_500.0;
 /// Weight of a new observation in an exponential moving average.
@@ -69,6 +73,15 @@
 /// Age at which the load reported by another router is dropped. Routers repeat loads above zero
 /// every second.
 const LOAD_EXPIRY: Duration = Duration::from_secs(3);
+/// Number of endpoints up to which a decision compares all of them.
+const COMPARE_ALL_MAX: usize = 32;
+/// Number of random endpoints among those that a decision compares in a larger fleet.
+const RANDOM_CANDIDATES: usize = 16;
+/// Number of engines compared because they may cache the shared parts of a prompt: the first by
+/// rendezvous hashing, and those that take its place while it is busy or blocked.
+const HOME_CANDIDATES: usize = 4;
+/// Largest number of endpoints compared because a connection to them is open.
+const CONNECTED_CANDIDATES: usize = 12;
 /// Largest random increase of a cost, so that routers with equal knowledge do not all choose the
 /// same endpoint.
 const JITTER: f64 = 0.05;
@@ -82,6 +95,8 @@
     pub max_gap: Option<Duration>,
     /// Endpoints that were already tried.
     pub excluded: &'a [EndpointId],
+    /// Addresses to which an idle connection is open.
+    pub connected: &'a HashSet<SocketAddr>,
 }
 
 /// Chosen endpoint, with the values that the choice is logged with.
@@ -331,10 +346,17 @@
         rng: &mut impl Rng,
     ) -> Option<Placement> {
         self.expire_loads(now);
-        let usable = records
-            .iter()
-            .filter(|record| !query.excluded.contains(&record.id));
-        let usable: Vec<&EndpointRecord> = usable.collect();
+        let chain = prefix_chain(query.prompt.map_or(&[], |prompt| &prompt.parts));
+        let is_excluded = |record: &EndpointRecord| query.excluded.contains(&record.id);
+        let selected = select_candidates(records, query, &chain, rng).into_iter();
+        let mut usable: Vec<&EndpointRecord> =
+            selected.filter(|record| !is_excluded(record)).collect();
+        if usable.is_empty() {
+            usable = records
+                .iter()
+                .filter(|record| !is_excluded(record))
+                .collect();
+        }
         for record in &usable {
             self.stats_mut(record, now);
         }
@@ -348,21 +370,18 @@
         } else {
             unblocked
         };
-        let chain = prefix_chain(query.prompt.map_or(&[], |prompt| &prompt.parts));
         let is_long = self.is_long(query, &chain);
-        let reserved_engines = self.reserved_engines(query, &candidates);
+        let reserved_engines = self.reserved_engines(query, records, now);
         let unreserved = candidates.iter().copied();
-        let unreserved: Vec<&EndpointRecord> = unreserved
-            .filter(|record| !reserved_engines.contains(&record.id))
-            .collect();
-        let home = home_engine(&chain, &unreserved);
+        let unreserved = unreserved.filter(|record| !reserved_engines.contains(&record.id));
+        let home = home_engines(&chain, unreserved, 1).pop();
         let mut costs: Vec<(f64, Tokens, &EndpointRecord)> = Vec::with_capacity(candidates.len());
         for record in candidates {
             let stats = self.stats.get(&record.id)?;
             let (cost, uncached) = match query.prompt {
                 Some(prompt) => {
                     let fit = EngineFit {
-                        is_home: home == Some(&record.id),
+                        is_home: home.is_some_and(|home| home.id == record.id),
                         is_reserved: reserved_engines.contains(&record.id),
                         is_long,
                     };
@@ -375,9 +394,18 @@
             } else {
                 CROSS_DOMAIN_COST_MS
             };
+            let connect = if query.connected.contains(&record.address) {
+                0.0
+            } else {
+                CONNECT_COST_MS
+            };
             let failure = stats.failures.get(now) * FAILURE_COST_MS;
             let jitter = 1.0 + rng.random::<f64>() * JITTER;
-            costs.push(((cost + cross_domain + failure) * jitter, uncached, record));
+            costs.push((
+                (cost + cross_domain + connect + failure) * jitter,
+                uncached,
+                record,
+            ));
         }
         if let Some(prompt) = query.prompt {
             self.record_demand(prompt.input_tokens, is_long);
@@ -551,16 +579,23 @@
     fn reserved_engines<'a>(
         &self,
         query: PlacementQuery<'_>,
-        candidates: &[&'a EndpointRecord],
+        records: &'a [EndpointRecord],
+        now: Instant,
     ) -> HashSet<&'a EndpointId> {
-        let count = candidates.len();
-        let wanted = (count as f64 * self.long_prompt_share).round() as usize;
-        if query.prompt.is_none() || count < RESERVED_MIN_ENGINES || wanted == 0 {
+        if query.prompt.is_none() || self.long_prompt_share * records.len() as f64 <= 0.5 {
             return HashSet::new();
         }
-        let mut ids: Vec<&EndpointId> = candidates.iter().map(|record| &record.id).collect();
+        let usable = records
+            .iter()
+            .filter(|record| !query.excluded.contains(&record.id) && !self.is_blocked(record, now));
+        let mut ids: Vec<&EndpointId> = usable.map(|record| &record.id).collect();
+        if ids.len() < RESERVED_MIN_ENGINES {
+            return HashSet::new();
+        }
+        let wanted = (ids.len() as f64 * self.long_prompt_share).round() as usize;
+        let limit = wanted.min(ids.len() / RESERVED_DIVISOR);
         ids.sort_by_cached_key(|id| xxh3_64_with_seed(id.as_bytes(), 0));
-        ids.truncate(wanted.min(count / RESERVED_DIVISOR));
+        ids.truncate(limit);
         ids.into_iter().collect()
     }
 
@@ -651,13 +686,57 @@
     chain.len().checked_sub(2).map_or(0, |last| chain[last].1)
 }
 
-/// Endpoint that caches the shared parts of a prompt, chosen by rendezvous hashing, so that all
+/// Endpoints to compare for a request: all of a small fleet. In a larger one the cost of a decision
+/// must not grow with the fleet, so these are the engines that may cache the prompt, some that are
+/// connected and some random ones.
+fn select_candidates<'a>(
+    records: &'a [EndpointRecord],
+    query: PlacementQuery<'_>,
+    chain: &[(u64, Tokens)],
+    rng: &mut impl Rng,
+) -> Vec<&'a EndpointRecord> {
+    if records.len() <= COMPARE_ALL_MAX {
+        return records.iter().collect();
+    }
+    let mut selected = home_engines(chain, records.iter(), HOME_CANDIDATES);
+    let mut add = |record: &'a EndpointRecord| {
+        if selected.iter().all(|other| other.id != record.id) {
+            selected.push(record);
+        }
+    };
+    // Starts at a random endpoint, so that not always the same connected ones are left out.
+    let (before, after) = records.split_at(rng.random_range(0..records.len()));
+    let connected = after
+        .iter()
+        .chain(before)
+        .filter(|record| query.connected.contains(&record.address));
+    connected.take(CONNECTED_CANDIDATES).for_each(&mut add);
+    let random = index::sample(rng, records.len(), RANDOM_CANDIDATES);
+    random
+        .into_iter()
+        .for_each(|position| add(&records[position]));
+    selected
+}
+
+/// Engines that cache the shared parts of a prompt, best first, by rendezvous hashing, so that all
 /// routers send requests with the same parts to the same engine.
-fn home_engine<'a>(
+fn home_engines<'a>(
     chain: &[(u64, Tokens)],
-    candidates: &[&'a EndpointRecord],
-) -> Option<&'a EndpointId> {
-    let (hash, _) = chain.get(chain.len().checked_sub(2)?)?;
-    let ids = candidates.iter().map(|record| &record.id);
-    ids.max_by_key(|id| xxh3_64_with_seed(id.as_bytes(), *hash))
+    candidates: impl Iterator<Item = &'a EndpointRecord>,
+    limit: usize,
+) -> Vec<&'a EndpointRecord> {
+    let shared = chain.len().checked_sub(2).map(|last| chain[last].0);
+    let Some(hash) = shared else {
+        return Vec::new();
+    };
+    let mut homes: Vec<(u64, &EndpointRecord)> = Vec::with_capacity(limit + 1);
+    for record in candidates {
+        let rank = xxh3_64_with_seed(record.id.as_bytes(), hash);
+        let position = homes.partition_point(|(other, _)| *other >= rank);
+        if position < limit {
+            homes.truncate(limit - 1);
+            homes.insert(position, (rank, record));
+        }
+    }
+    homes.into_iter().map(|(_, record)| record).collect()
 }
--- a/crates/forward/src/budget.rs
+++ b/crates/forward/src/budget.rs
@@ -47,8 +47,8 @@
     pub(crate) pending_limits: Vec<SpendLimit>,
     /// End of the period whose demand peers were already asked to cover.
     pub(crate) ahead_until: Option<Instant>,
-    /// Largest request that was held.
-    pub(crate) largest_request: Tokens,
+    /// Size of the last request.
+    pub(crate) last_amount: Tokens,
     /// Tokens given to peers.
     pub(crate) given: Tokens,
     /// Tokens received from peers.
@@ -144,12 +144,18 @@
             return 0;
         }
         self.ahead_until = Some(now + ASK_AHEAD_TIME);
-        self.demand_rate.expected(ASK_AHEAD_TIME, now)
+        self.expected_soon(now)
     }
 
-    /// Records the size of a request.
-    pub(crate) fn record_request(&mut self, amount: Tokens) {
-        self.largest_request = self.largest_request.max(amount);
+    /// Tokens that a router without a grant needs within [`ASK_AHEAD_TIME`]; 0 if that is less than
+    /// a request.
+    fn expected_soon(&self, now: Instant) -> Tokens {
+        let expected = self.demand_rate.expected(ASK_AHEAD_TIME, now);
+        if expected < self.last_amount {
+            0
+        } else {
+            expected
+        }
     }
 
     /// Records the limit of a change that is being written.
@@ -182,6 +188,11 @@
         }
     }
 
+    /// Tokens that a router without a grant keeps for its next requests.
+    pub(crate) fn kept_ahead(&self) -> Tokens {
+        self.state().expected_soon(Instant::now())
+    }
+
     pub(crate) fn state(&self) -> MutexGuard<'_, BudgetState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -29,9 +29,18 @@
     version: u64,
     is_loaded: bool,
     members: HashMap<EndpointId, EndpointMember>,
+    /// Ready endpoints by service, built when they are asked for and cleared when a registration
+    /// changes. Listing hundreds of endpoints for each request would take a small VM's processor.
+    ready: HashMap<ServiceId, ReadyList>,
     store: StoreContact,
 }
 
+struct ReadyList {
+    records: Arc<Vec<EndpointRecord>>,
+    /// When the first registration that is missing from the store is dropped.
+    valid_until: Option<Instant>,
+}
+
 struct EndpointMember {
     record: EndpointRecord,
     /// Set while the registration is missing from the store because of an outage: when it is
@@ -171,14 +180,27 @@
     }
 
     /// Endpoints of a service that accept new requests.
-    pub fn ready_endpoints(&self, service: &ServiceId, now: Instant) -> Vec<EndpointRecord> {
-        let set = self.lock_endpoints();
+    pub fn ready_endpoints(&self, service: &ServiceId, now: Instant) -> Arc<Vec<EndpointRecord>> {
+        let mut set = self.lock_endpoints();
+        let cached = set.ready.get(service);
+        if let Some(list) = cached.filter(|list| list.valid_until.is_none_or(|until| now < until)) {
+            return list.records.clone();
+        }
         let members = set.members.values().filter(|member| {
             member.record.service == *service
                 && member.record.state == EndpointState::Ready
                 && member.is_live(now)
         });
-        members.map(|member| member.record.clone()).collect()
+        let members: Vec<&EndpointMember> = members.collect();
+        let valid_until = members.iter().filter_map(|member| member.drop_at).min();
+        let records = members.iter().map(|member| member.record.clone());
+        let records = Arc::new(records.collect::<Vec<_>>());
+        let list = ReadyList {
+            records: records.clone(),
+            valid_until,
+        };
+        set.ready.insert(service.clone(), list);
+        records
     }
 
     fn lock_config(&self) -> MutexGuard<'_, Option<Arc<FleetConfig>>> {
@@ -208,6 +230,7 @@
                     endpoint = %id, service = %record.service, address = %record.address,
                     state = ?record.state, born = record.started_ms, "endpoint registered"
                 );
+                self.ready.clear();
             }
             let member = EndpointMember {
                 record,
@@ -225,11 +248,13 @@
                 if member.drop_at.is_none() {
                     tracing::info!(endpoint = %id, "registration lapsed during an outage of the store; kept for now");
                     member.drop_at = Some(drop_at);
+                    self.ready.clear();
                 }
             }
             _ => {
                 tracing::info!(endpoint = %id, "endpoint removed");
                 self.members.remove(&id);
+                self.ready.clear();
             }
         }
     }
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -16,10 +16,10 @@
 const WATCH_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Pause after a failed call, so that a failing store is not called in a busy loop.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
-/// Pause after changed registrations. Endpoints renew their registrations all the time, so the
-/// pause batches several changes into one response. It is short compared to the two seconds within
-/// which a leaving endpoint must be noticed.
-const CHANGE_PAUSE: Duration = Duration::from_millis(500);
+/// Pause after changed registrations, as a part of the time within which a leaving endpoint must be
+/// noticed. Endpoints renew their registrations all the time, so the pause batches several changes
+/// into one response.
+const CHANGE_PAUSE_DIVISOR: u32 = 4;
 
 /// Watches the operator's configuration for as long as the router runs.
 pub(crate) async fn follow_config(view: Arc<FleetView>, port: Arc<dyn RecordPort>) {
@@ -43,8 +43,13 @@
     }
 }
 
-/// Watches the endpoints' registrations for as long as the router runs.
-pub(crate) async fn follow_endpoints(view: Arc<FleetView>, port: Arc<dyn RecordPort>) {
+/// Watches the endpoints' registrations for as long as the router runs. `drain` is the time within
+/// which a leaving endpoint must be noticed.
+pub(crate) async fn follow_endpoints(
+    view: Arc<FleetView>,
+    port: Arc<dyn RecordPort>,
+    drain: Duration,
+) {
     let mut since_version = None;
     loop {
         let read_all = since_version.is_none();
@@ -69,7 +74,7 @@
             view.update_endpoints(update, now);
         }
         if changed {
-            tokio::time::sleep(CHANGE_PAUSE).await;
+            tokio::time::sleep(drain / CHANGE_PAUSE_DIVISOR).await;
         }
     }
 }
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -444,10 +444,14 @@
         }
         let records = self.view.ready_endpoints(&admitted.service, now);
         let prompt = admitted.request.prompt.as_ref();
+        let connected = self
+            .endpoints
+            .connected(admitted.route.retry_policy.may_retry());
         let query = PlacementQuery {
             prompt,
             max_gap: admitted.route.target_gap,
             excluded: &admitted.excluded,
+            connected: &connected,
         };
         let mut balancer = self.balancer();
         let chosen = balancer.choose(&records, query, now, &mut rand::rng());
--- a/crates/forward/src/group.rs
+++ b/crates/forward/src/group.rs
@@ -1,7 +1,7 @@
 //! Other routers as registered in the store, and the exchange with them.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, HashMap},
     future::Future,
     net::SocketAddr,
     pin::Pin,
@@ -10,10 +10,12 @@
 };
 
 use {
-    bytes::Bytes,
     jasminewall_core::{CustomerId, DomainId, Tokens, VmId},
-    jasminewall_ports::{Category, RowKey, RowPort, RowReply, RowTransaction, RowUpdate},
+    jasminewall_ports::{
+        Category, RowKey, RowPort, RowReply, RowTransaction, RowUpdate, StoredRow,
+    },
     rand::seq::IndexedRandom,
+    serde::Serialize,
     tarpc::{client, context, tokio_serde::formats::Bincode},
     tokio::time::{timeout, timeout_at},
     xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
@@ -22,19 +24,25 @@
 use crate::{
     fleet::FleetView,
     forwarder::Forwarder,
-    manager::{BudgetManager, PredecessorEnd, TokenPeers},
-    peer::{CrashRecord, PEER_TIMEOUT, PeerRecord, RouterPeerClient},
+    manager::{BudgetManager, DepositOutcome, PredecessorEnd, TokenPeers},
+    peer::{CrashRecord, HeartbeatRecord, PEER_TIMEOUT, PeerRecord, RouterPeerClient},
     session::{SessionMode, StoreSession},
 };
 
 /// Table of registered routers.
 const PEER_TABLE: &str = "router";
-/// Interval between reads of the registered routers.
-const PEER_INTERVAL: Duration = Duration::from_secs(5);
-/// Interval between reads shortly after the start, while other routers may be starting.
-const START_INTERVAL: Duration = Duration::from_millis(750);
-/// Time after the start for which the routers are read more often.
-const START_PERIOD: Duration = Duration::from_secs(6);
+/// Table of heartbeats, with a partition for each VM. They are apart from the registrations, so that
+/// watching those shows only routers that come and go.
+const HEARTBEAT_TABLE: &str = "heartbeat";
+/// Key of the heartbeat in the partition of its VM.
+const HEARTBEAT_KEY: &str = "run";
+/// Longest time that a watch of the registrations waits at the store.
+const PEER_WATCH_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause after a response with changed registrations, so that routers that start together appear in
+/// a few responses.
+const PEER_CHANGE_PAUSE: Duration = Duration::from_millis(750);
+/// Pause after a failed call for registrations or the heartbeat of the previous run.
+const PEER_FAILURE_PAUSE: Duration = Duration::from_millis(250);
 /// Interval at which peers are asked for newer state while the store is unreachable. It fits four
 /// times into the two seconds within which a configuration must be in force.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(500);
@@ -48,6 +56,9 @@
 /// share of a customer's demand is less than one request, so one router per failure domain owns a
 /// grant and the others ask it.
 const ALL_OWNERS_MAX: usize = 16;
+/// Number of routers of a failure domain that may own grants in a large fleet. Only these need
+/// frequent heartbeats and the takeover of accounts after a crash.
+const DOMAIN_OWNERS: usize = 3;
 /// Longest wait for tokens from a peer, including the peer's transactions at the store. Tokens in a
 /// later response are lost to both routers.
 const GIVE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -70,7 +81,59 @@
     vm: VmId,
     record: PeerRecord,
     rows: Arc<dyn RowPort>,
-    peers: Mutex<HashMap<VmId, PeerEntry>>,
+    table: Mutex<PeerTable>,
+}
+
+/// Known routers.
+#[derive(Default)]
+struct PeerTable {
+    /// All other routers.
+    entries: HashMap<VmId, PeerEntry>,
+    /// Routers that may own grants, this one included, by failure domain.
+    owner_pools: BTreeMap<DomainId, Vec<VmId>>,
+}
+
+impl PeerTable {
+    /// Chooses the routers that may own grants: those with the fastest links of each domain, since
+    /// the others send them a message for each request. Equal ones are ordered by their names'
+    /// hashes.
+    fn choose_owner_pools(&mut self, own_vm: &VmId, own_record: &PeerRecord) {
+        let mut domains = BTreeMap::<&DomainId, Vec<(u32, u64, &VmId)>>::new();
+        let others = self.entries.iter().map(|(vm, entry)| (vm, &entry.record));
+        for (vm, record) in others.chain([(own_vm, own_record)]) {
+            let rank = (record.link_mbps, xxh3_64(vm.as_bytes()), vm);
+            domains.entry(&record.domain).or_default().push(rank);
+        }
+        let pools = domains.into_iter().map(|(domain, mut ranks)| {
+            ranks.sort_unstable_by(|a, b| b.cmp(a));
+            let vms = ranks.into_iter().take(DOMAIN_OWNERS);
+            (domain.clone(), vms.map(|(_, _, vm)| vm.clone()).collect())
+        });
+        self.owner_pools = pools.collect();
+    }
+
+    /// Whether all routers own grants.
+    fn is_small(&self) -> bool {
+        self.entries.len() < ALL_OWNERS_MAX
+    }
+
+    /// Router of a pool that owns the grant of a customer, by rendezvous hashing over those that
+    /// respond.
+    fn owner_of<'a>(
+        &self,
+        customer: &CustomerId,
+        pool: &'a [VmId],
+        own_vm: &VmId,
+        now: Instant,
+    ) -> Option<&'a VmId> {
+        let seed = xxh3_64(customer.as_bytes());
+        let is_responsive = |vm: &VmId| {
+            let entry = self.entries.get(vm);
+            vm == own_vm || entry.is_some_and(|entry| entry.is_responsive(now))
+        };
+        let responsive = pool.iter().filter(|vm| is_responsive(vm));
+        responsive.max_by_key(|vm| xxh3_64_with_seed(vm.as_bytes(), seed))
+    }
 }
 
 struct PeerEntry {
@@ -109,25 +172,23 @@
             vm,
             record,
             rows,
-            peers: Mutex::default(),
+            table: Mutex::default(),
         })
     }
 
-    /// Writes the registration of this router with a heartbeat.
+    /// Writes a heartbeat of this run.
     ///
     /// # Errors
     ///
     /// When the store does not respond.
     async fn send_heartbeat(&self, budgets: &BudgetManager) -> jasminewall_ports::Result<()> {
         let now = Instant::now();
-        let record = PeerRecord {
+        let record = HeartbeatRecord {
+            boot: self.record.boot,
             heartbeat: budgets.session().heartbeat(now),
-            ..self.record.clone()
         };
-        // Serializing plain fields cannot fail.
-        let value = Bytes::from(serde_json::to_vec(&record).unwrap_or_default());
         budgets.session().heartbeat_sent(now);
-        let written = self.write(Some(value)).await;
+        let written = self.write(self.heartbeat_key(), Some(&record)).await;
         let mut session = budgets.session();
         match &written {
             Ok(now_ms) => {
@@ -140,20 +201,78 @@
         written.map(|_| ())
     }
 
-    /// Removes the registration of this router.
+    /// Reads the heartbeat on this VM. Returns how the previous run ended.
     ///
     /// # Errors
     ///
     /// When the store does not respond.
-    pub(crate) async fn unregister(&self) -> jasminewall_ports::Result<()> {
-        self.write(None).await.map(|_| ())
+    async fn read_heartbeat(
+        &self,
+        budgets: &BudgetManager,
+    ) -> jasminewall_ports::Result<PredecessorEnd> {
+        let page = self.rows.read(HEARTBEAT_TABLE, &self.vm).await?;
+        budgets.session().record_clock(page.now_ms, Instant::now());
+        let value = page.rows.into_iter().find_map(|row| row.value);
+        let Some(value) = value else {
+            return Ok(PredecessorEnd::Unknown);
+        };
+        let record: HeartbeatRecord = match serde_json::from_slice(&value) {
+            Ok(record) => record,
+            Err(error) => {
+                tracing::warn!(%error, "the heartbeat of the previous run is unreadable");
+                return Ok(PredecessorEnd::Unknown);
+            }
+        };
+        let late = StoreSession::max_lateness(record.heartbeat, page.now_ms);
+        Ok(match late {
+            Some(late) if record.boot != self.record.boot => PredecessorEnd::Attached {
+                boot: record.boot,
+                late,
+            },
+            _ => PredecessorEnd::Unknown,
+        })
     }
 
-    async fn write(&self, value: Option<Bytes>) -> jasminewall_ports::Result<u64> {
+    /// Writes the registration of this router.
+    ///
+    /// # Errors
+    ///
+    /// When the store does not respond.
+    async fn register(&self) -> jasminewall_ports::Result<()> {
         let key = RowKey::new(PEER_TABLE, "", self.vm.clone());
+        self.write(key, Some(&self.record)).await.map(|_| ())
+    }
+
+    /// Removes the registration of this router and its heartbeat.
+    ///
+    /// # Errors
+    ///
+    /// When the store does not respond.
+    pub(crate) async fn unregister(&self) -> jasminewall_ports::Result<()> {
+        let key = RowKey::new(PEER_TABLE, "", self.vm.clone());
+        self.write(key, None::<&PeerRecord>).await?;
+        let heartbeat = self.write(self.heartbeat_key(), None::<&HeartbeatRecord>);
+        heartbeat.await.map(|_| ())
+    }
+
+    fn heartbeat_key(&self) -> RowKey {
+        RowKey::new(HEARTBEAT_TABLE, self.vm.clone(), HEARTBEAT_KEY)
+    }
+
+    /// Writes or removes a row. Returns the store's clock in ms.
+    async fn write(
+        &self,
+        key: RowKey,
+        record: Option<&impl Serialize>,
+    ) -> jasminewall_ports::Result<u64> {
+        // Serializing plain fields cannot fail.
+        let encode = |record| serde_json::to_vec(record).unwrap_or_default().into();
         let transaction = RowTransaction {
             preconditions: Vec::new(),
-            updates: vec![RowUpdate { key, value }],
+            updates: vec![RowUpdate {
+                key,
+                value: record.map(encode),
+            }],
         };
         match self.rows.transact(transaction).await? {
             RowReply::Committed { now_ms, .. } => Ok(now_ms),
@@ -164,76 +283,73 @@
         }
     }
 
-    /// Routers that own grants of a customer in a large fleet: one per failure domain, chosen by
-    /// rendezvous hashing, with this router's domain first. `None` stands for this router.
+    /// Routers that own grants of a customer in a large fleet: one per failure domain, with this
+    /// router's domain first. `None` stands for this router.
     fn owners(&self, customer: &CustomerId) -> Vec<Option<PeerTarget>> {
         let now = Instant::now();
-        let peers = self.peers();
-        let seed = xxh3_64(customer.as_bytes());
-        let rank = |vm: &VmId| xxh3_64_with_seed(vm.as_bytes(), seed);
-        let mut first = HashMap::from([(&self.record.domain, (rank(&self.vm), None))]);
-        for (vm, entry) in peers.iter().filter(|(_, entry)| entry.is_responsive(now)) {
-            let candidate = (rank(vm), Some(vm));
-            let best = first.entry(&entry.record.domain).or_insert(candidate);
-            if candidate.0 > best.0 {
-                *best = candidate;
-            }
-        }
-        let mut owners: Vec<(&DomainId, (u64, Option<&VmId>))> = first.into_iter().collect();
-        owners.sort_by_key(|(domain, (rank, _))| (**domain != self.record.domain, *rank));
-        let owners = owners.into_iter().map(|(_, (_, vm))| vm);
-        owners.map(|vm| vm.map(|vm| peers[vm].target(vm))).collect()
+        let table = self.table();
+        let mut pools: Vec<(&DomainId, &Vec<VmId>)> = table.owner_pools.iter().collect();
+        pools.sort_by_key(|(domain, _)| **domain != self.record.domain);
+        let owners = pools.into_iter();
+        let owners = owners.filter_map(|(_, pool)| table.owner_of(customer, pool, &self.vm, now));
+        owners
+            .map(|vm| table.entries.get(vm).map(|entry| entry.target(vm)))
+            .collect()
     }
 
     /// Number of routers that own grants of one customer.
     fn owner_count(&self) -> usize {
-        let peers = self.peers();
-        if peers.len() < ALL_OWNERS_MAX {
-            return peers.len() + 1;
+        let table = self.table();
+        if table.is_small() {
+            table.entries.len() + 1
+        } else {
+            table.owner_pools.len()
         }
-        let domains = peers.values().map(|entry| &entry.record.domain);
-        let domains: HashSet<&DomainId> = domains.chain([&self.record.domain]).collect();
-        domains.len()
     }
 
-    /// Reads the registered routers. Returns their number and how the previous run on this VM
-    /// ended.
-    ///
-    /// # Errors
-    ///
-    /// When the store does not respond.
-    async fn refresh(
-        &self,
-        budgets: &BudgetManager,
-    ) -> jasminewall_ports::Result<(usize, PredecessorEnd)> {
-        let page = self.rows.read(PEER_TABLE, "").await?;
-        budgets.session().record_clock(page.now_ms, Instant::now());
-        let now_ms = page.now_ms;
-        let mut end = PredecessorEnd::Unknown;
-        let mut peers = self.peers();
-        let mut entries = HashMap::new();
-        for row in page.rows {
-            let value = row.value.unwrap_or_default();
-            let record: PeerRecord = match serde_json::from_slice(&value) {
-                Ok(record) => record,
-                Err(error) => {
-                    tracing::warn!(vm = %row.key.key, %error, "skipped an unreadable registration of a router");
-                    continue;
-                }
-            };
-            if row.key.key == self.vm {
-                let late = StoreSession::max_lateness(record.heartbeat, now_ms);
-                if let Some(late) = late.filter(|_| record.boot != self.record.boot) {
-                    let boot = record.boot;
-                    end = PredecessorEnd::Attached { boot, late };
-                }
+    /// Number of routers that send heartbeats as often as this one: all routers, or only the
+    /// possible owners of grants if this is one of them.
+    fn heartbeat_group(&self) -> usize {
+        let table = self.table();
+        let mut pools = table.owner_pools.values();
+        let is_in_pool = pools.any(|pool| pool.contains(&self.vm));
+        if is_in_pool && !table.is_small() {
+            table.owner_pools.values().map(Vec::len).sum()
+        } else {
+            table.entries.len() + 1
+        }
+    }
+
+    /// Applies registrations from the store: all of them, or those that changed. Returns whether
+    /// this router's own registration is missing.
+    fn apply_registrations(&self, rows: Vec<StoredRow>, all: bool) -> bool {
+        let mut table = self.table();
+        let mut entries = std::mem::take(&mut table.entries);
+        let mut previous = if all {
+            std::mem::take(&mut entries)
+        } else {
+            HashMap::new()
+        };
+        let mut own_missing = all;
+        for row in rows {
+            let vm = row.key.key;
+            let record = row.value.and_then(|value| {
+                serde_json::from_slice::<PeerRecord>(&value)
+                    .inspect_err(|error| {
+                        tracing::warn!(%vm, %error, "skipped an unreadable registration of a router");
+                    })
+                    .ok()
+            });
+            if vm == self.vm {
+                own_missing = record.is_none_or(|record| record.boot != self.record.boot);
                 continue;
             }
-            let previous = peers.remove(&row.key.key);
-            let entry = match previous {
+            let known = entries.remove(&vm).or_else(|| previous.remove(&vm));
+            let Some(record) = record else { continue };
+            let entry = match known {
                 Some(entry) if entry.record.boot == record.boot => entry,
                 _ => {
-                    tracing::info!(vm = %row.key.key, address = %record.address, "router registered");
+                    tracing::info!(%vm, address = %record.address, "router registered");
                     PeerEntry {
                         record,
                         client: None,
@@ -241,16 +357,17 @@
                     }
                 }
             };
-            entries.insert(row.key.key, entry);
+            entries.insert(vm, entry);
         }
-        *peers = entries;
-        Ok((peers.len() + 1, end))
+        table.entries = entries;
+        table.choose_owner_pools(&self.vm, &self.record);
+        own_missing
     }
 
     /// Random selection of responsive routers.
     fn sample(&self, limit: usize) -> Vec<PeerTarget> {
         let now = Instant::now();
-        let peers = self.peers();
+        let peers = &self.table().entries;
         let responsive = peers.iter().filter(|(_, entry)| entry.is_responsive(now));
         let responsive: Vec<(&VmId, &PeerEntry)> = responsive.collect();
         let selected = responsive.choose_multiple(&mut rand::rng(), limit);
@@ -261,7 +378,7 @@
     /// failure domain, so that the number of messages stays bounded.
     fn neighbours(&self) -> Vec<PeerTarget> {
         let now = Instant::now();
-        let peers = self.peers();
+        let peers = &self.table().entries;
         let is_small = peers.len() < NEIGHBOUR_LIMIT;
         let neighbours = peers.iter().filter(|(_, entry)| {
             (is_small || entry.record.domain == self.record.domain) && entry.is_responsive(now)
@@ -274,7 +391,7 @@
 
     /// Time for which load changes are batched into one message.
     fn load_delay(&self) -> Duration {
-        let routers = self.peers().len() + 1;
+        let routers = self.table().entries.len() + 1;
         LOAD_DELAY_PER_ROUTER * u32::try_from(routers).unwrap_or(u32::MAX)
     }
 
@@ -289,7 +406,7 @@
             return None;
         };
         let client = RouterPeerClient::new(client::Config::default(), transport).spawn();
-        if let Some(entry) = self.peers().get_mut(&target.vm) {
+        if let Some(entry) = self.table().entries.get_mut(&target.vm) {
             entry.client = Some(client.clone());
         }
         Some(client)
@@ -298,7 +415,7 @@
     /// Closes the connection to an unresponsive router and excludes the router for a while.
     fn mark_unresponsive(&self, vm: &VmId) {
         let now = Instant::now();
-        if let Some(entry) = self.peers().get_mut(vm) {
+        if let Some(entry) = self.table().entries.get_mut(vm) {
             // Several calls to one router may fail at the same time.
             if entry.is_responsive(now) {
                 tracing::info!(%vm, "a router does not answer");
@@ -330,14 +447,14 @@
         }
     }
 
-    fn peers(&self) -> MutexGuard<'_, HashMap<VmId, PeerEntry>> {
-        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    fn table(&self) -> MutexGuard<'_, PeerTable> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl TokenPeers for PeerGroup {
     fn is_owner(&self, customer: &CustomerId) -> bool {
-        let is_small = self.peers().len() < ALL_OWNERS_MAX;
+        let is_small = self.table().is_small();
         is_small || self.owners(customer).iter().any(Option::is_none)
     }
 
@@ -349,7 +466,7 @@
     ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>> {
         Box::pin(async move {
             let mut received = 0;
-            let owners = if self.peers().len() < ALL_OWNERS_MAX {
+            let owners = if self.table().is_small() {
                 Vec::new()
             } else {
                 self.owners(customer).into_iter().flatten().collect()
@@ -382,9 +499,9 @@
         &'a self,
         customer: &'a CustomerId,
         tokens: Tokens,
-    ) -> Pin<Box<dyn Future<Output = bool> + Send + 'a>> {
+    ) -> Pin<Box<dyn Future<Output = DepositOutcome> + Send + 'a>> {
         Box::pin(async move {
-            let owners: Vec<PeerTarget> = if self.peers().len() < ALL_OWNERS_MAX {
+            let owners: Vec<PeerTarget> = if self.table().is_small() {
                 self.sample(DEPOSIT_PEERS)
             } else {
                 self.owners(customer).into_iter().flatten().collect()
@@ -397,9 +514,12 @@
                 let call = timeout(PEER_TIMEOUT, call).await;
                 // Without a response the tokens may have arrived, so they are not sent to another
                 // peer.
-                return matches!(call, Ok(Ok(())));
+                return match call {
+                    Ok(Ok(())) => DepositOutcome::Accepted,
+                    _ => DepositOutcome::Unknown,
+                };
             }
-            false
+            DepositOutcome::NotSent
         })
     }
 }
@@ -414,46 +534,77 @@
     context
 }
 
-/// Writes heartbeats and keeps the list of routers up to date. After each read of the list, calls
-/// `on_refresh` with the number of routers and the number of those that own a grant of the same
-/// customer.
+/// Registers this router and keeps the list of routers up to date. After each change of the list,
+/// calls `on_change` with the number of routers and the number of those that own a grant of the
+/// same customer.
 pub(crate) async fn follow_peers(
     group: Arc<PeerGroup>,
     budgets: Arc<BudgetManager>,
-    on_refresh: impl Fn(usize, usize),
+    on_change: impl Fn(usize, usize),
 ) {
-    let mut predecessor_known = false;
-    let mut refresh_at = Instant::now();
-    let start_end = refresh_at + START_PERIOD;
+    let mut since_version = None;
+    let mut own_missing = true;
     loop {
-        let now = Instant::now();
-        let mode = budgets.session().mode(now);
-        let is_late = matches!(mode, SessionMode::Late | SessionMode::Detached);
-        if now >= refresh_at || is_late {
-            match group.refresh(&budgets).await {
-                Ok((routers, end)) => {
-                    budgets.session().set_routers(routers);
-                    on_refresh(routers, group.owner_count());
-                    let starting = now < start_end;
-                    refresh_at = now
-                        + if starting {
-                            START_INTERVAL
-                        } else {
-                            PEER_INTERVAL
-                        };
-                    if !predecessor_known {
-                        tracing::info!(?end, routers, "found how the previous run ended");
-                        budgets.set_predecessor(end);
-                        predecessor_known = true;
-                    }
-                    if is_late {
-                        reattach(&group, &budgets).await;
-                    }
+        if own_missing {
+            match group.register().await {
+                Ok(()) => own_missing = false,
+                Err(error) => tracing::warn!(%error, "this router was not registered"),
+            }
+        }
+        let outcome = match since_version {
+            None => group.rows.read(PEER_TABLE, "").await,
+            Some(since) => {
+                let deadline = Instant::now() + PEER_WATCH_TIMEOUT;
+                group.rows.watch(PEER_TABLE, since, deadline).await
+            }
+        };
+        let page = match outcome {
+            Ok(page) => page,
+            Err(error) => {
+                tracing::debug!(%error, "failed to read or watch the registered routers");
+                if error.category() == Category::Compacted {
+                    since_version = None;
                 }
-                Err(error) => tracing::debug!(%error, "failed to read the registered routers"),
+                tokio::time::sleep(PEER_FAILURE_PAUSE).await;
+                continue;
+            }
+        };
+        let read_all = since_version.is_none();
+        since_version = Some(page.version);
+        if page.rows.is_empty() && !read_all {
+            continue;
+        }
+        own_missing = group.apply_registrations(page.rows, read_all) || own_missing;
+        let routers = group.table().entries.len() + 1;
+        budgets.session().set_writers(group.heartbeat_group());
+        on_change(routers, group.owner_count());
+        tokio::time::sleep(PEER_CHANGE_PAUSE).await;
+    }
+}
+
+/// Finds out how the previous run ended, then writes heartbeats for as long as the router runs.
+pub(crate) async fn send_heartbeats(group: Arc<PeerGroup>, budgets: Arc<BudgetManager>) {
+    loop {
+        match group.read_heartbeat(&budgets).await {
+            Ok(end) => {
+                tracing::info!(?end, "found how the previous run ended");
+                budgets.set_predecessor(end);
+                break;
+            }
+            Err(error) => tracing::debug!(%error, "failed to read the previous heartbeat"),
+        }
+        tokio::time::sleep(PEER_FAILURE_PAUSE).await;
+    }
+    loop {
+        let mode = budgets.session().mode(Instant::now());
+        if matches!(mode, SessionMode::Late | SessionMode::Detached) {
+            // Shows whether the store responds again.
+            match group.read_heartbeat(&budgets).await {
+                Ok(_) => reattach(&group, &budgets).await,
+                Err(error) => tracing::debug!(%error, "failed to read the own heartbeat"),
             }
         }
-        let may_send = predecessor_known && budgets.session().may_send(Instant::now());
+        let may_send = budgets.session().may_send(Instant::now());
         if may_send && let Err(error) = group.send_heartbeat(&budgets).await {
             tracing::warn!(%error, "the heartbeat was not written");
         }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -42,7 +42,9 @@
     fleet::FleetView,
     forwarder::{Forwarder, StopWindow},
     link::LinkMeter,
-    manager::{BudgetHold, BudgetManager, BudgetShortage, PredecessorEnd, TokenPeers},
+    manager::{
+        BudgetHold, BudgetManager, BudgetShortage, DepositOutcome, PredecessorEnd, TokenPeers,
+    },
     metric::METRIC_NAMES,
     node::{ForwardNode, ForwardPorts},
     setting::ForwardSetting,
--- a/crates/forward/src/manager.rs
+++ b/crates/forward/src/manager.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     future::Future,
     pin::Pin,
     sync::{
@@ -10,10 +10,14 @@
 };
 
 use {
+    futures_util::future::join_all,
     jasminewall_core::{BootId, CustomerId, GrantLedger, HolderId, RequestId, Tokens},
     jasminewall_ports::{Category, RowPort, RowReply},
     rand::Rng,
-    tokio::{sync::Mutex as AsyncMutex, time::timeout_at},
+    tokio::{
+        sync::{Mutex as AsyncMutex, Notify},
+        time::timeout_at,
+    },
 };
 
 use crate::{
@@ -73,6 +77,9 @@
 /// Interval at which idle and excess tokens are returned.
 const REBALANCE_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Time for which left-over tokens of several requests are collected before they are handed over.
+const HANDOVER_DELAY: Duration = Duration::from_millis(100);
+
 /// Why a request gets no tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BudgetShortage {
@@ -84,6 +91,17 @@
     StoreAway,
 }
 
+/// Whether a peer took over tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DepositOutcome {
+    /// The peer has the tokens.
+    Accepted,
+    /// No peer was called; the tokens are still here.
+    NotSent,
+    /// The peer may have the tokens. They must not be used here.
+    Unknown,
+}
+
 /// Other routers that can give tokens from their grants.
 pub trait TokenPeers: Send + Sync {
     /// Whether this router owns a grant of the customer, which it draws ahead of demand.
@@ -96,12 +114,12 @@
         minimum: Tokens,
         wanted: Tokens,
     ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>>;
-    /// Hands tokens over to a peer that owns a grant. Returns whether a peer accepted them.
+    /// Hands tokens over to a peer that owns a grant.
     fn deposit<'a>(
         &'a self,
         customer: &'a CustomerId,
         tokens: Tokens,
-    ) -> Pin<Box<dyn Future<Output = bool> + Send + 'a>>;
+    ) -> Pin<Box<dyn Future<Output = DepositOutcome> + Send + 'a>>;
 }
 
 /// Tokens of all customers that this router may spend, and their exchange with the store and peers.
@@ -122,6 +140,9 @@
     next_hold: AtomicU64,
     /// Set when the router stops; nothing is drawn from then on.
     closed: AtomicBool,
+    /// Customers whose requests ended or were refused since left-over tokens were last handed over.
+    leftovers: Mutex<HashSet<CustomerId>>,
+    leftover_noted: Notify,
 }
 
 /// How the previous router run on this VM ended.
@@ -165,9 +186,13 @@
     fn drop(&mut self) {
         let settled = self.manager.ledger().settle(&self.hold_id, self.charge);
         match settled {
-            Ok(charge) => tracing::info!(
-                request = %self.request, customer = %charge.budget, charged = charge.tokens, "settled"
-            ),
+            Ok(charge) => {
+                tracing::info!(
+                    request = %self.request, customer = %charge.budget, charged = charge.tokens,
+                    "settled"
+                );
+                self.manager.note_leftover(charge.budget);
+            }
             Err(error) => {
                 tracing::error!(request = %self.request, %error, "failed to settle a hold");
             }
@@ -190,6 +215,8 @@
             owner_count: AtomicU64::new(1),
             next_hold: AtomicU64::new(0),
             closed: AtomicBool::new(false),
+            leftovers: Mutex::default(),
+            leftover_noted: Notify::new(),
         })
     }
 
@@ -221,7 +248,7 @@
         let budget = self.budget(customer);
         let now = Instant::now();
         budget.raise_prepaid(prepaid);
-        budget.state().record_request(amount);
+        budget.state().last_amount = amount;
         if let Some(hold) = self.try_hold(&budget, request, amount) {
             self.maybe_refill(&budget);
             return Ok(hold);
@@ -253,7 +280,12 @@
             self.ask_peers(request, &budget, amount, Some(shortage), deadline)
                 .await;
         }
-        self.try_hold(&budget, request, amount).ok_or(shortage)
+        let hold = self.try_hold(&budget, request, amount);
+        if hold.is_none() {
+            // Peers may have given a part of the tokens.
+            self.note_leftover(customer.clone());
+        }
+        hold.ok_or(shortage)
     }
 
     /// Asks peers for the tokens that a request lacks. Tokens that arrive after `deadline` serve
@@ -397,9 +429,57 @@
             if self.return_unheld(&budget, deadline).await {
                 continue;
             }
-            let tokens = self.withdraw(&budget, self.spendable(&budget.customer));
-            let kept = self.peers.deposit(&budget.customer, tokens).await;
-            tracing::info!(customer = %budget.customer, tokens, kept, "gave tokens to a peer before stopping");
+            let tokens = self.spendable(&budget.customer);
+            let (tokens, outcome) = self.hand_over(&budget, tokens).await;
+            tracing::info!(customer = %budget.customer, tokens, ?outcome, "gave tokens to a peer before stopping");
+        }
+    }
+
+    /// Hands up to `tokens` over to a peer that owns a grant. Returns how many were taken out of the
+    /// ledger, and whether the peer has them.
+    async fn hand_over(&self, budget: &CustomerBudget, tokens: Tokens) -> (Tokens, DepositOutcome) {
+        let tokens = self.withdraw(budget, tokens);
+        if tokens == 0 {
+            return (0, DepositOutcome::NotSent);
+        }
+        let outcome = self.peers.deposit(&budget.customer, tokens).await;
+        if outcome == DepositOutcome::NotSent {
+            self.ledger().release_outgoing(&budget.customer, tokens);
+            budget.state().given -= tokens;
+        }
+        (tokens, outcome)
+    }
+
+    /// Records that tokens of a customer may be left over.
+    fn note_leftover(&self, customer: CustomerId) {
+        self.leftovers().insert(customer);
+        self.leftover_noted.notify_one();
+    }
+
+    /// Hands left-over tokens to the owners of grants whenever requests have ended, for as long as
+    /// the router runs.
+    pub async fn hand_over_leftovers(self: Arc<Self>) {
+        loop {
+            self.leftover_noted.notified().await;
+            tokio::time::sleep(HANDOVER_DELAY).await;
+            let customers = std::mem::take(&mut *self.leftovers());
+            join_all(customers.iter().map(|id| self.hand_over_leftover(id))).await;
+        }
+    }
+
+    /// Hands the tokens of a customer that this router needs no more to the owner of a grant.
+    ///
+    /// In a fleet of hundreds of routers, each would otherwise keep a few requests' worth of every
+    /// customer's tokens. Together that can exceed the budget, and a loss of power loses all of it.
+    async fn hand_over_leftover(&self, customer: &CustomerId) {
+        if self.peers.is_owner(customer) {
+            return;
+        }
+        let budget = self.budget(customer);
+        let leftover = self.spendable(customer).saturating_sub(budget.kept_ahead());
+        let (tokens, outcome) = self.hand_over(&budget, leftover).await;
+        if tokens > 0 {
+            tracing::debug!(%customer, tokens, ?outcome, "handed over left-over tokens");
         }
     }
 
@@ -473,15 +553,17 @@
             }
             if account.is_known() {
                 let target_grant = self.target_grant(budget, &account);
-                let target_grant = if self.peers.is_owner(&budget.customer) {
+                let is_owner = self.peers.is_owner(&budget.customer);
+                let target_grant = if is_owner {
                     target_grant
                 } else {
-                    // Keeps enough tokens for the next requests.
-                    2 * budget.state().largest_request
+                    budget.kept_ahead()
                 };
                 let spendable = self.spendable(&budget.customer);
+                // Tokens that only came from peers go back to owners after each request.
+                let was_drawn = is_owner || account.stored().granted > 0;
                 // The margin avoids returning tokens that are soon drawn again.
-                if spendable > target_grant + target_grant / 2 {
+                if was_drawn && spendable > target_grant + target_grant / 2 {
                     spendable - target_grant
                 } else {
                     0
@@ -819,6 +901,12 @@
         budget
     }
 
+    fn leftovers(&self) -> MutexGuard<'_, HashSet<CustomerId>> {
+        self.leftovers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn ledger(&self) -> MutexGuard<'_, GrantLedger> {
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -21,7 +21,6 @@
     manager::BudgetManager,
     peer::{self, PeerRecord},
     port::{EndpointPort, RecordPort},
-    session::Heartbeat,
     setting::{FleetBounds, ForwardSetting},
 };
 
@@ -70,7 +69,7 @@
             boot: holder.boot,
             address: setting.peer_listen,
             domain: setting.failure_domain.clone(),
-            heartbeat: Heartbeat::default(),
+            link_mbps: setting.link_mbps.unwrap_or_default() as u32,
         };
         let view = Arc::new(FleetView::default());
         let peers = PeerGroup::new(setting.vm.clone(), record, ports.rows.clone());
@@ -90,7 +89,7 @@
             forwarder.clone(),
         )
         .await?;
-        let on_refresh = {
+        let on_peers_changed = {
             let (forwarder, budgets) = (forwarder.clone(), budgets.clone());
             move |routers, grant_owners| {
                 forwarder.set_routers(routers);
@@ -106,19 +105,26 @@
         };
         let tasks = vec![
             spawn(follow::follow_config(view.clone(), ports.records.clone())).abort_handle(),
-            spawn(follow::follow_endpoints(view.clone(), ports.records)).abort_handle(),
+            spawn(follow::follow_endpoints(
+                view.clone(),
+                ports.records,
+                setting.bounds.drain,
+            ))
+            .abort_handle(),
             spawn(group::follow_peers(
                 peers.clone(),
                 budgets.clone(),
-                on_refresh,
+                on_peers_changed,
             ))
             .abort_handle(),
+            spawn(group::send_heartbeats(peers.clone(), budgets.clone())).abort_handle(),
             spawn(group::poll_peer_updates(
                 Arc::downgrade(&peers),
                 view.clone(),
             ))
             .abort_handle(),
             spawn(budgets.clone().rebalance(prepaid_budgets)).abort_handle(),
+            spawn(budgets.clone().hand_over_leftovers()).abort_handle(),
             spawn(group::send_loads(peers.clone(), forwarder.clone())).abort_handle(),
             spawn(group::send_crashes(peers.clone(), forwarder.clone())).abort_handle(),
             spawn(prune_endpoint_stats(forwarder.clone())).abort_handle(),
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -38,8 +38,17 @@
     pub address: SocketAddr,
     /// Failure domain of the router.
     pub domain: DomainId,
-    /// Last heartbeat of the run; see [`StoreSession`](crate::session::StoreSession).
+    /// Speed of the VM's network link in Mbit/s, rounded down; 0 if unknown.
     #[serde(default)]
+    pub link_mbps: u32,
+}
+
+/// Last heartbeat of a router run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeartbeatRecord {
+    /// Run of the router.
+    pub boot: BootId,
+    /// See [`StoreSession`](crate::session::StoreSession).
     pub heartbeat: Heartbeat,
 }
 
--- a/crates/forward/src/port.rs
+++ b/crates/forward/src/port.rs
@@ -1,6 +1,6 @@
 //! Ports of the forwarding path to endpoints and to the operator's records.
 
-use std::{future::Future, net::SocketAddr, pin::Pin, time::Instant};
+use std::{collections::HashSet, future::Future, net::SocketAddr, pin::Pin, time::Instant};
 
 use {
     bytes::Bytes,
@@ -90,6 +90,9 @@
 pub trait EndpointPort: Send + Sync {
     /// Sends a request. Dropping the future or the body tells the endpoint to stop.
     fn call<'a>(&'a self, call: EndpointCall<'a>) -> CallFuture<'a>;
+    /// Addresses to which a request can be sent without opening a connection. `retryable` has the
+    /// same meaning as in [`EndpointCall`].
+    fn connected(&self, retryable: bool) -> HashSet<SocketAddr>;
     /// Whether an address accepts a connection; no request is sent.
     fn accepts(&self, address: SocketAddr) -> Pin<Box<dyn Future<Output = bool> + Send + '_>>;
 }
--- a/crates/forward/src/session.rs
+++ b/crates/forward/src/session.rs
@@ -16,8 +16,8 @@
 const RESTART_TIME_MAX: Duration = Duration::from_millis(2_250);
 /// Shortest time between two heartbeats of a router.
 const HEARTBEAT_INTERVAL_MIN: Duration = Duration::from_millis(250);
-/// Heartbeat interval per router of the fleet. The interval grows with the fleet, so that all
-/// routers together write at most a hundred heartbeats per second.
+/// Heartbeat interval per router that sends heartbeats as often. The interval grows with their
+/// number, so that all of them together write at most a hundred heartbeats per second.
 const HEARTBEAT_PER_ROUTER: Duration = Duration::from_millis(10);
 
 /// Delay from which a heartbeat counts as late. Calls to a slow store take a few hundred ms.
@@ -26,6 +26,19 @@
 /// Time within which the store usually acknowledges a heartbeat.
 const USUAL_RESPONSE_TIME: Duration = Duration::from_millis(100);
 
+/// Interval of the heartbeats of `writer_count` routers.
+fn interval_of(writer_count: u32) -> Duration {
+    HEARTBEAT_INTERVAL_MIN.max(HEARTBEAT_PER_ROUTER * writer_count)
+}
+
+fn detach_age(writer_count: u32) -> Duration {
+    RESTART_TIME_MAX + interval_of(writer_count)
+}
+
+fn late_age(writer_count: u32) -> Duration {
+    interval_of(writer_count) + LATE_MARGIN
+}
+
 /// Whether a run may consume whole grants.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SessionMode {
@@ -63,7 +76,12 @@
     attaching: bool,
     /// Whether the outcome of the last heartbeat is unknown.
     unresolved: bool,
-    router_count: u32,
+    /// Number of routers that send heartbeats as often as this one.
+    writer_count: u32,
+    /// Largest value of `writer_count` since a heartbeat with the current one was written.
+    stored_count: u32,
+    /// Value of `writer_count` in the last heartbeat that was sent.
+    sent_count: u32,
 }
 
 impl StoreSession {
@@ -79,26 +97,27 @@
         Some(now_ms + u64::try_from(passed).unwrap_or(u64::MAX))
     }
 
-    /// Sets the number of routers, which determines the heartbeat interval. It never shrinks, so
-    /// that the ages in earlier heartbeats stay valid.
-    pub fn set_routers(&mut self, router_count: usize) {
-        let router_count = u32::try_from(router_count).unwrap_or(u32::MAX);
-        self.router_count = self.router_count.max(router_count);
+    /// Sets the number of routers that send heartbeats as often as this one, which determines the
+    /// interval. After it falls, the ages of the stored heartbeat apply until one with the new ages
+    /// was written.
+    pub fn set_writers(&mut self, writer_count: usize) {
+        self.writer_count = u32::try_from(writer_count).unwrap_or(u32::MAX);
+        self.stored_count = self.stored_count.max(self.writer_count);
     }
 
     /// Time between two heartbeats.
     pub fn interval(&self) -> Duration {
-        HEARTBEAT_INTERVAL_MIN.max(HEARTBEAT_PER_ROUTER * self.router_count)
+        interval_of(self.writer_count)
     }
 
     /// Age of the last heartbeat from which the run is detached.
     pub fn detach_after(&self) -> Duration {
-        RESTART_TIME_MAX + self.interval()
+        detach_age(self.stored_count)
     }
 
     /// Age of the last heartbeat from which the next one is late.
     pub fn late_after(&self) -> Duration {
-        self.interval() + LATE_MARGIN
+        late_age(self.stored_count)
     }
 
     /// Longest time for which the heartbeat of a run that wrote `heartbeat` and ended before
@@ -114,8 +133,8 @@
         let ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
         Heartbeat {
             seen_ms: self.clock(now).unwrap_or(0),
-            late_ms: ms(self.late_after()),
-            detach_ms: ms(self.detach_after()),
+            late_ms: ms(late_age(self.writer_count)),
+            detach_ms: ms(detach_age(self.writer_count)),
         }
     }
 
@@ -178,11 +197,15 @@
     pub fn heartbeat_sent(&mut self, now: Instant) {
         self.previous_sent = self.last_sent;
         self.last_sent = Some(now);
+        self.sent_count = self.writer_count;
         self.unresolved = true;
     }
 
     /// Records that the heartbeat was written.
     pub fn heartbeat_written(&mut self) {
+        // A heartbeat without a response was followed by this one only after it was late, so its
+        // ages end earlier.
+        self.stored_count = self.sent_count.max(self.writer_count);
         self.unresolved = false;
         self.attaching = false;
     }
@@ -194,7 +217,7 @@
         self.attaching = false;
     }
 
-    /// Records that the heartbeat may have been written.
+    /// Records that the heartbeat may have been written, or may still be.
     pub fn heartbeat_uncertain(&mut self) {
         self.attaching = false;
     }
--- a/crates/forward/src/setting.rs
+++ b/crates/forward/src/setting.rs
@@ -23,7 +23,13 @@
     ("store", &["address"]),
     (
         "bounds",
-        &["grace_s", "retry_ratio", "retry_window_s", "retry_slack"],
+        &[
+            "grace_s",
+            "drain_s",
+            "retry_ratio",
+            "retry_window_s",
+            "retry_slack",
+        ],
     ),
     ("log", &["format", "level"]),
     ("metrics", &["listen"]),
@@ -34,6 +40,9 @@
 pub struct FleetBounds {
     /// Time between SIGTERM and SIGKILL.
     pub grace: Duration,
+    /// Time after the registration of an endpoint shows that it leaves within which requests may
+    /// still be sent to it.
+    pub drain: Duration,
     /// Retries allowed per request to a service.
     pub retry_ratio: f64,
     /// Window over which retries are counted.
@@ -43,10 +52,11 @@
 }
 
 impl Default for FleetBounds {
-    /// A small retry budget, and the grace period that most platforms give.
+    /// A small retry budget, the grace period that most platforms give, and a short drain time.
     fn default() -> Self {
         Self {
             grace: Duration::from_secs(8),
+            drain: Duration::from_secs(2),
             retry_ratio: 0.1,
             retry_window: Duration::from_secs(10),
             retry_slack: 10.0,
@@ -96,6 +106,7 @@
             store: reader.parse("store", "address", "ip:port", None),
             bounds: FleetBounds {
                 grace: read_seconds(&mut reader, "grace_s", bounds.grace),
+                drain: read_seconds(&mut reader, "drain_s", bounds.drain),
                 retry_ratio: read_share(&mut reader, "retry_ratio", bounds.retry_ratio),
                 retry_window: read_seconds(&mut reader, "retry_window_s", bounds.retry_window),
                 retry_slack: read_share(&mut reader, "retry_slack", bounds.retry_slack),
--- a/crates/forward/tests/choice.rs
+++ b/crates/forward/tests/choice.rs
@@ -1,6 +1,11 @@
 //! Placement of requests, retries, event streams and the link meter.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    sync::LazyLock,
+    time::{Duration, Instant},
+};
 
 use {
     jasminewall_forward::{
@@ -13,6 +18,8 @@
     rand::{SeedableRng, rngs::StdRng},
 };
 
+static NO_CONNECTIONS: LazyLock<HashSet<SocketAddr>> = LazyLock::new(HashSet::new);
+
 fn engines(count: usize) -> Vec<EndpointRecord> {
     let engines = (0..count).map(|number| EndpointRecord {
         id: format!("engine-{number}").into(),
@@ -48,6 +55,7 @@
         prompt: Some(prompt),
         max_gap: Some(Duration::from_millis(500)),
         excluded: &[],
+        connected: &NO_CONNECTIONS,
     }
 }
 
@@ -55,8 +63,9 @@
 /// messages must send the same parts to the same engine.
 #[test]
 fn routers_agree_on_the_engine_for_a_shared_part() {
-    let (records, now) = (engines(9), Instant::now());
-    for shared in 1..40 {
+    let now = Instant::now();
+    for (count, shared) in (1..40).flat_map(|shared| [(9, shared), (320, shared)]) {
+        let records = engines(count);
         let prompt = prompt(shared, 5_000);
         let chosen: Vec<_> = (0..4)
             .map(|seed| {
@@ -137,6 +146,7 @@
         prompt: None,
         max_gap: None,
         excluded: &[],
+        connected: &NO_CONNECTIONS,
     };
     let mut balancer = LoadBalancer::new("a".into());
     let mut rng = StdRng::seed_from_u64(3);
@@ -190,6 +200,7 @@
         prompt: None,
         max_gap: None,
         excluded,
+        connected: &NO_CONNECTIONS,
     };
     let mut rng = StdRng::seed_from_u64(5);
     let one = balancer.choose(&records, query(&excluded[..1]), Instant::now(), &mut rng);
@@ -275,3 +286,59 @@
     }
     assert!(!meter.is_congested(at(9_500)) && !unknown.is_congested(at(9_500)));
 }
+
+/// Guards against a new connection for nearly every request in a large fleet, where each router has
+/// hundreds of endpoints to choose from and sends a few requests per second. An open connection
+/// must not outweigh a queue.
+#[test]
+fn a_connected_endpoint_is_preferred_until_it_is_busy() {
+    let (records, now) = (engines(40), Instant::now());
+    let mut balancer = LoadBalancer::new("a".into());
+    let mut rng = StdRng::seed_from_u64(1);
+    let connected = HashSet::from([records[7].address]);
+    let short = PromptSpec {
+        input_tokens: 300,
+        max_output_tokens: 100,
+        parts: Vec::new(),
+    };
+    let query = PlacementQuery {
+        prompt: Some(&short),
+        connected: &connected,
+        ..query(&short)
+    };
+    let mut on_connected = 0;
+    for _ in 0..100 {
+        let placement = balancer.choose(&records, query, now, &mut rng);
+        let placement = placement.expect("there are engines");
+        balancer.begin(&placement, Some(&short), now);
+        on_connected += u32::from(placement.record.id == records[7].id);
+    }
+    assert!((5..30).contains(&on_connected), "{on_connected} of 100");
+}
+
+/// Guards against queues at a few engines of a large fleet while others are idle: comparing a
+/// bounded number of engines must spread the requests of one router like comparing all of them.
+#[test]
+fn a_large_fleet_is_used_evenly() {
+    let (records, now) = (engines(320), Instant::now());
+    let mut balancer = LoadBalancer::new("a".into());
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut running = HashMap::new();
+    for number in 0..640_u64 {
+        let prompt = PromptSpec {
+            input_tokens: 600,
+            max_output_tokens: 100,
+            parts: vec![PromptPart {
+                id: number,
+                tokens: 600,
+            }],
+        };
+        let placement = balancer.choose(&records, query(&prompt), now, &mut rng);
+        let placement = placement.expect("there are engines");
+        balancer.begin(&placement, Some(&prompt), now);
+        *running.entry(placement.record.id).or_insert(0) += 1;
+    }
+    // Two requests for each engine.
+    let most = running.values().max();
+    assert!(most <= Some(&4), "{most:?} on the busiest engine");
+}
--- a/crates/forward/tests/contact.rs
+++ b/crates/forward/tests/contact.rs
@@ -18,13 +18,15 @@
         let mut session = StoreSession::default();
         session.record_clock(1_000, start);
         let store_ms = |now: Instant| 1_000 + (now - start).as_millis() as u64;
-        // Every heartbeat that may have been written; the store may show any of them.
-        let mut written: Vec<Heartbeat> = Vec::new();
+        // Heartbeats without a response may be written at any later time, so the store may show
+        // any of them, or the last one that was certainly written.
+        let mut uncertain: Vec<Heartbeat> = Vec::new();
+        let mut written: Option<Heartbeat> = None;
         for (outcome, pause_ms) in steps {
             now += Duration::from_millis(u64::from(pause_ms % 1_500));
-            session.set_routers(usize::from(outcome));
+            session.set_writers(usize::from(outcome));
             let mode = session.mode(now);
-            if let Some(heartbeat) = written.iter().max() {
+            for heartbeat in uncertain.iter().chain(&written) {
                 let max_lateness = StoreSession::max_lateness(*heartbeat, store_ms(now));
                 let late = session.lateness(now);
                 match mode {
@@ -51,13 +53,13 @@
             session.heartbeat_sent(now);
             match outcome % 3 {
                 0 => {
-                    written.push(heartbeat);
+                    written = Some(heartbeat);
                     session.record_clock(store_ms(now), now);
                     session.heartbeat_written();
                 }
                 1 => session.heartbeat_rejected(),
                 _ => {
-                    written.push(heartbeat);
+                    uncertain.push(heartbeat);
                     session.heartbeat_uncertain();
                 }
             }
--- a/crates/forward/tests/log.rs
+++ b/crates/forward/tests/log.rs
@@ -1,6 +1,8 @@
 //! Logs: the cause of a refused request can be found by the request's id.
 
 use std::{
+    collections::HashSet,
+    net::SocketAddr,
     pin::Pin,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
@@ -31,6 +33,10 @@
 }
 
 impl EndpointPort for PartitionedEndpoints {
+    fn connected(&self, _: bool) -> HashSet<SocketAddr> {
+        HashSet::new()
+    }
+
     fn call<'a>(&'a self, _: EndpointCall<'a>) -> CallFuture<'a> {
         let connects = self.connects;
         Box::pin(async move {
@@ -41,7 +47,7 @@
         })
     }
 
-    fn accepts(&self, _: std::net::SocketAddr) -> Pin<Box<dyn Future<Output = bool> + Send + '_>> {
+    fn accepts(&self, _: SocketAddr) -> Pin<Box<dyn Future<Output = bool> + Send + '_>> {
         Box::pin(async { true })
     }
 }
--- a/crates/forward/tests/setting.rs
+++ b/crates/forward/tests/setting.rs
@@ -16,6 +16,7 @@
         ("InternalPorts.0", "7340"),
         ("Platform.Address", "10.200.1.7:8223"),
         ("Bounds.GraceS", "8"),
+        ("Bounds.DrainMs", "4000"),
         ("Bounds.RetryBudgetRatio", "0.2"),
         ("Bounds.RetryWindowS", "10"),
         ("Bounds.RetrySlack", "58"),
@@ -37,6 +38,7 @@
     );
     let setting: ForwardSetting = text.parse().expect("the template is valid");
     assert_eq!(setting.bounds.grace, Duration::from_secs(8));
+    assert_eq!(setting.bounds.drain, Duration::from_secs(4));
     assert_eq!(setting.bounds.retry_window, Duration::from_secs(10));
     assert_eq!(
         (setting.bounds.retry_ratio, setting.bounds.retry_slack),
--- a/crates/forward/tests/support/peers.rs
+++ b/crates/forward/tests/support/peers.rs
@@ -7,7 +7,7 @@
 
 use {
     jasminewall_core::{CustomerId, Tokens},
-    jasminewall_forward::{BudgetManager, TokenPeers},
+    jasminewall_forward::{BudgetManager, DepositOutcome, TokenPeers},
 };
 
 /// Peers that never give tokens.
@@ -31,8 +31,8 @@
         &'a self,
         _: &'a CustomerId,
         _: Tokens,
-    ) -> Pin<Box<dyn Future<Output = bool> + Send + 'a>> {
-        Box::pin(async { false })
+    ) -> Pin<Box<dyn Future<Output = DepositOutcome> + Send + 'a>> {
+        Box::pin(async { DepositOutcome::NotSent })
     }
 }
 
@@ -61,9 +61,9 @@
         &'a self,
         customer: &'a CustomerId,
         tokens: Tokens,
-    ) -> Pin<Box<dyn Future<Output = bool> + Send + 'a>> {
+    ) -> Pin<Box<dyn Future<Output = DepositOutcome> + Send + 'a>> {
         self.0.receive(customer, tokens);
-        Box::pin(async { true })
+        Box::pin(async { DepositOutcome::Accepted })
     }
 }
 
@@ -98,7 +98,7 @@
         &'a self,
         _: &'a CustomerId,
         _: Tokens,
-    ) -> Pin<Box<dyn Future<Output = bool> + Send + 'a>> {
-        Box::pin(async { false })
+    ) -> Pin<Box<dyn Future<Output = DepositOutcome> + Send + 'a>> {
+        Box::pin(async { DepositOutcome::NotSent })
     }
 }
