--- a/crates/forward/src/balancer.rs
+++ b/crates/forward/src/balancer.rs
@@ -375,6 +375,9 @@
         let unreserved = candidates.iter().copied();
         let unreserved = unreserved.filter(|record| !reserved_engines.contains(&record.id));
         let home = home_engines(&chain, unreserved, 1).pop();
+        // A router soon has connections to all engines of a small fleet. Preferring the first of them
+        // would only make the start of a day bunch there.
+        let prefers_connected = query.prompt.is_none() || records.len() > COMPARE_ALL_MAX;
         let mut costs: Vec<(f64, Tokens, &EndpointRecord)> = Vec::with_capacity(candidates.len());
         for record in candidates {
             let stats = self.stats.get(&record.id)?;
@@ -394,10 +397,10 @@
             } else {
                 CROSS_DOMAIN_COST_MS
             };
-            let connect = if query.connected.contains(&record.address) {
-                0.0
-            } else {
+            let connect = if prefers_connected && !query.connected.contains(&record.address) {
                 CONNECT_COST_MS
+            } else {
+                0.0
             };
             let failure = stats.failures.get(now) * FAILURE_COST_MS;
             let jitter = 1.0 + rng.random::<f64>() * JITTER;
