Prefer connected endpoints in fleets of more than 16 routers only

Cause: on further (8 routers) the preference also bunched plain requests at the first connected of three workers.

Change: the preference depends on the number of routers, for engines and plain services alike. Fleets of more than 16 routers decide as before.

--- a/crates/forward/src/balancer.rs
+++ b/crates/forward/src/balancer.rs
@@ -95,8 +95,8 @@
     pub max_gap: Option<Duration>,
     /// Endpoints that were already tried.
     pub excluded: &'a [EndpointId],
-    /// Addresses to which an idle connection is open.
-    pub connected: &'a HashSet<SocketAddr>,
+    /// Addresses to which an idle connection is open; `None` if they are not preferred.
+    pub connected: Option<&'a HashSet<SocketAddr>>,
 }
 
 /// Chosen endpoint, with the values that the choice is logged with.
@@ -375,9 +375,6 @@
         let unreserved = candidates.iter().copied();
         let unreserved = unreserved.filter(|record| !reserved_engines.contains(&record.id));
         let home = home_engines(&chain, unreserved, 1).pop();
-        // A router soon has connections to all engines of a small fleet. Preferring the first of them
-        // would only make the start of a day bunch there.
-        let prefers_connected = query.prompt.is_none() || records.len() > COMPARE_ALL_MAX;
         let mut costs: Vec<(f64, Tokens, &EndpointRecord)> = Vec::with_capacity(candidates.len());
         for record in candidates {
             let stats = self.stats.get(&record.id)?;
@@ -397,10 +394,9 @@
             } else {
                 CROSS_DOMAIN_COST_MS
             };
-            let connect = if prefers_connected && !query.connected.contains(&record.address) {
-                CONNECT_COST_MS
-            } else {
-                0.0
+            let connect = match query.connected {
+                Some(connected) if !connected.contains(&record.address) => CONNECT_COST_MS,
+                _ => 0.0,
             };
             let failure = stats.failures.get(now) * FAILURE_COST_MS;
             let jitter = 1.0 + rng.random::<f64>() * JITTER;
@@ -709,10 +705,12 @@
     };
     // Starts at a random endpoint, so that not always the same connected ones are left out.
     let (before, after) = records.split_at(rng.random_range(0..records.len()));
-    let connected = after
-        .iter()
-        .chain(before)
-        .filter(|record| query.connected.contains(&record.address));
+    let is_connected = |record: &EndpointRecord| {
+        let connected = query.connected;
+        connected.is_some_and(|connected| connected.contains(&record.address))
+    };
+    let connected = after.iter().chain(before);
+    let connected = connected.filter(|record| is_connected(record));
     connected.take(CONNECTED_CANDIDATES).for_each(&mut add);
     let random = index::sample(rng, records.len(), RANDOM_CANDIDATES);
     random
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -40,6 +40,10 @@
 pub(crate) const RESPONSE_GRACE: Duration = Duration::from_millis(100);
 /// Largest number of sends of one request, including those that endpoints rejected.
 const SEND_LIMIT: u32 = 4;
+/// Number of routers from which endpoints with an open connection are preferred. A router of a
+/// smaller fleet has connections to all endpoints that it uses, and a preference for the first ones
+/// would only bunch requests there.
+const PREFER_CONNECTED_MIN: usize = 17;
 /// Number of connection failures after which a request is refused.
 const CONNECT_LIMIT: u32 = 6;
 /// Time after a broken connection within which the port of a crashed endpoint closes.
@@ -444,14 +448,16 @@
         }
         let records = self.view.ready_endpoints(&admitted.service, now);
         let prompt = admitted.request.prompt.as_ref();
-        let connected = self
-            .endpoints
-            .connected(admitted.route.retry_policy.may_retry());
+        let prefers_connected = self.routers.load(Ordering::Relaxed) >= PREFER_CONNECTED_MIN;
+        let connected = prefers_connected.then(|| {
+            let retryable = admitted.route.retry_policy.may_retry();
+            self.endpoints.connected(retryable)
+        });
         let query = PlacementQuery {
             prompt,
             max_gap: admitted.route.target_gap,
             excluded: &admitted.excluded,
-            connected: &connected,
+            connected: connected.as_ref(),
         };
         let mut balancer = self.balancer();
         let chosen = balancer.choose(&records, query, now, &mut rand::rng());
--- a/crates/forward/tests/choice.rs
+++ b/crates/forward/tests/choice.rs
@@ -2,8 +2,6 @@
 
 use std::{
     collections::{HashMap, HashSet},
-    net::SocketAddr,
-    sync::LazyLock,
     time::{Duration, Instant},
 };
 
@@ -18,8 +16,6 @@
     rand::{SeedableRng, rngs::StdRng},
 };
 
-static NO_CONNECTIONS: LazyLock<HashSet<SocketAddr>> = LazyLock::new(HashSet::new);
-
 fn engines(count: usize) -> Vec<EndpointRecord> {
     let engines = (0..count).map(|number| EndpointRecord {
         id: format!("engine-{number}").into(),
@@ -55,7 +51,7 @@
         prompt: Some(prompt),
         max_gap: Some(Duration::from_millis(500)),
         excluded: &[],
-        connected: &NO_CONNECTIONS,
+        connected: None,
     }
 }
 
@@ -146,7 +142,7 @@
         prompt: None,
         max_gap: None,
         excluded: &[],
-        connected: &NO_CONNECTIONS,
+        connected: None,
     };
     let mut balancer = LoadBalancer::new("a".into());
     let mut rng = StdRng::seed_from_u64(3);
@@ -200,7 +196,7 @@
         prompt: None,
         max_gap: None,
         excluded,
-        connected: &NO_CONNECTIONS,
+        connected: None,
     };
     let mut rng = StdRng::seed_from_u64(5);
     let one = balancer.choose(&records, query(&excluded[..1]), Instant::now(), &mut rng);
@@ -303,7 +299,7 @@
     };
     let query = PlacementQuery {
         prompt: Some(&short),
-        connected: &connected,
+        connected: Some(&connected),
         ..query(&short)
     };
     let mut on_connected = 0;
