Do not register a router again after it unregistered

Cause: a stopping router saw its own registration removed and wrote it again, so that it stayed listed after its exit.

Change: a router that unregistered writes neither registration nor heartbeat.

The heartbeat row of a stopped router may remain: seen in a test, not traced, open.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -264,12 +264,12 @@
         .accounts
         .values()
         .all(|account| account.shortfall() == 0);
-    let shows_gifts = |other: &GrantRow| {
+    let is_consistent = |other: &GrantRow| {
         let has_ended = other.closed && other.exact || other.closed_peers.contains(&key);
         has_ended && transfers_match(row, other)
     };
     let mut peers = others.iter().filter(|other| other.holder != row.holder);
-    row.closed && row.exact && is_covered && peers.all(shows_gifts)
+    row.closed && row.exact && is_covered && peers.all(is_consistent)
 }
 
 /// Whether two rows record the same amounts for their transfers.
--- a/crates/forward/src/group.rs
+++ b/crates/forward/src/group.rs
@@ -5,7 +5,10 @@
     future::Future,
     net::SocketAddr,
     pin::Pin,
-    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, Weak,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -82,6 +85,8 @@
     record: PeerRecord,
     rows: Arc<dyn RowPort>,
     table: Mutex<PeerTable>,
+    /// Set when the router stops: its registration and heartbeat are not written again.
+    leaving: AtomicBool,
 }
 
 /// Known routers.
@@ -173,6 +178,7 @@
             record,
             rows,
             table: Mutex::default(),
+            leaving: AtomicBool::new(false),
         })
     }
 
@@ -249,12 +255,17 @@
     ///
     /// When the store does not respond.
     pub(crate) async fn unregister(&self) -> jasminewall_ports::Result<()> {
+        self.leaving.store(true, Ordering::Relaxed);
         let key = RowKey::new(PEER_TABLE, "", self.vm.clone());
         self.write(key, None::<&PeerRecord>).await?;
         let heartbeat = self.write(self.heartbeat_key(), None::<&HeartbeatRecord>);
         heartbeat.await.map(|_| ())
     }
 
+    fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
     fn heartbeat_key(&self) -> RowKey {
         RowKey::new(HEARTBEAT_TABLE, self.vm.clone(), HEARTBEAT_KEY)
     }
@@ -545,7 +556,7 @@
     let mut since_version = None;
     let mut own_missing = true;
     loop {
-        if own_missing {
+        if own_missing && !group.is_leaving() {
             match group.register().await {
                 Ok(()) => own_missing = false,
                 Err(error) => tracing::warn!(%error, "this router was not registered"),
@@ -604,7 +615,7 @@
                 Err(error) => tracing::debug!(%error, "failed to read the own heartbeat"),
             }
         }
-        let may_send = budgets.session().may_send(Instant::now());
+        let may_send = !group.is_leaving() && budgets.session().may_send(Instant::now());
         if may_send && let Err(error) = group.send_heartbeat(&budgets).await {
             tracing::warn!(%error, "the heartbeat was not written");
         }
--- a/crates/forward/src/manager.rs
+++ b/crates/forward/src/manager.rs
@@ -136,7 +136,8 @@
     next_hold: AtomicU64,
     /// Set when the router stops; nothing is drawn from then on.
     closed: AtomicBool,
-    /// Customers whose requests ended or were refused since left-over tokens were last handed over.
+    /// Customers whose requests ended or were refused since left-over tokens were last handed over;
+    /// at most those in the configuration.
     leftovers: Mutex<HashSet<CustomerId>>,
     leftover_noted: Notify,
 }
@@ -428,7 +429,8 @@
             }
             let tokens = self.spendable(&budget.customer);
             let (tokens, outcome) = self.hand_over(&budget, tokens).await;
-            tracing::info!(customer = %budget.customer, tokens, ?outcome, "gave tokens to a peer before stopping");
+            let kept = outcome == DepositOutcome::Accepted;
+            tracing::info!(customer = %budget.customer, tokens, kept, ?outcome, "gave tokens to a peer before stopping");
         }
     }
 
--- a/crates/forward/tests/large_fleet.rs
+++ b/crates/forward/tests/large_fleet.rs
@@ -215,4 +215,9 @@
     rows.put(registration(5), None);
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     assert!(rows.get(&registration(5)).is_some());
+
+    // A router that stops does not.
+    nodes[6].finish().await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert!(rows.get(&registration(6)).is_none());
 }
