--- a/crates/forward/tests/large_fleet.rs
+++ b/crates/forward/tests/large_fleet.rs
@@ -221,3 +221,17 @@
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     assert!(rows.get(&registration(6)).is_none());
 }
+
+/// Guards against the heartbeat of a stopped router that remains in the store, so that the next run
+/// on the VM takes the stop for a crash.
+#[tokio::test]
+async fn a_stopped_router_leaves_no_heartbeat() {
+    let rows = MemoryRows::new();
+    let node = start_node(&rows, 6, 20).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let heartbeat = RowKey::new("heartbeat", "vm-6", "run");
+    assert!(rows.get(&heartbeat).is_some());
+    node.finish().await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert!(rows.get(&heartbeat).is_none());
+}
