Stop the heartbeats of a router that unregistered

Cause: without further heartbeats the session counted as late after 0.75 s, and attaching to the store again wrote the heartbeat.

Change: the task that writes heartbeats ends when the router unregisters.

--- a/crates/forward/src/group.rs
+++ b/crates/forward/src/group.rs
@@ -593,7 +593,7 @@
     }
 }
 
-/// Finds out how the previous run ended, then writes heartbeats for as long as the router runs.
+/// Finds out how the previous run ended, then writes heartbeats until the router unregisters.
 pub(crate) async fn send_heartbeats(group: Arc<PeerGroup>, budgets: Arc<BudgetManager>) {
     loop {
         match group.read_heartbeat(&budgets).await {
@@ -606,7 +606,7 @@
         }
         tokio::time::sleep(PEER_FAILURE_PAUSE).await;
     }
-    loop {
+    while !group.is_leaving() {
         let mode = budgets.session().mode(Instant::now());
         if matches!(mode, SessionMode::Late | SessionMode::Detached) {
             // Shows whether the store responds again.
@@ -615,7 +615,7 @@
                 Err(error) => tracing::debug!(%error, "failed to read the own heartbeat"),
             }
         }
-        let may_send = !group.is_leaving() && budgets.session().may_send(Instant::now());
+        let may_send = budgets.session().may_send(Instant::now());
         if may_send && let Err(error) = group.send_heartbeat(&budgets).await {
             tracing::warn!(%error, "the heartbeat was not written");
         }
