Log the shared prompt parts of requests that an endpoint crashed with

The line had only the fingerprint of the whole request, so the log could not tell a repeated request from different requests with one part in common.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -47,6 +47,14 @@
             || (self.route.retry_policy.may_retry() && self.runs < self.route.max_attempts)
     }
 
+    /// Ids of the prompt parts that other requests may share, which are all except the last one.
+    pub(crate) fn shared_parts(&self) -> Vec<u64> {
+        let prompt = self.request.prompt.as_ref();
+        let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
+        let shared = parts.iter().take(parts.len().saturating_sub(1));
+        shared.map(|part| part.id).collect()
+    }
+
     pub(crate) fn input_tokens(&self) -> Tokens {
         self.request
             .prompt
@@ -73,10 +81,10 @@
     }
 
     /// Records that the endpoint closed the connection before the response was complete.
-    pub(crate) fn mark_closed(&mut self, request_fingerprint: u64) {
+    pub(crate) fn mark_closed(&mut self, admitted: &AdmittedRequest) {
         self.failed = true;
         self.forwarder
-            .detect_crash(request_fingerprint, self.in_flight.endpoint(), self.address);
+            .detect_crash(admitted, self.in_flight.endpoint(), self.address);
     }
 
     pub(crate) fn mark_responded(&mut self) {
--- a/crates/forward/src/buffered.rs
+++ b/crates/forward/src/buffered.rs
@@ -46,7 +46,7 @@
                     });
                 }
                 Ok(Err(error)) => {
-                    open.guard.mark_closed(admitted.fingerprint);
+                    open.guard.mark_closed(&admitted);
                     error.to_string()
                 }
                 Err(_) => {
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -349,7 +349,7 @@
                 }
                 other => {
                     if let Ok(Err(_)) = &other {
-                        self.detect_crash(admitted.fingerprint, &endpoint, address);
+                        self.detect_crash(admitted, &endpoint, address);
                     }
                     let (reason, kind) = match other {
                         Ok(Ok(response)) => (
@@ -375,17 +375,19 @@
     /// endpoint's port no longer accepts connections either.
     pub(crate) fn detect_crash(
         self: &Arc<Self>,
-        fingerprint: u64,
+        admitted: &AdmittedRequest,
         endpoint: &EndpointId,
         address: SocketAddr,
     ) {
         let (forwarder, endpoint) = (self.clone(), endpoint.clone());
+        let fingerprint = admitted.fingerprint;
+        let parts = admitted.shared_parts();
         tokio::spawn(async move {
             tokio::time::sleep(CRASH_CHECK_DELAY).await;
             if forwarder.endpoints.accepts(address).await {
                 return;
             }
-            tracing::warn!(%endpoint, fingerprint, "the endpoint crashed with the request open");
+            tracing::warn!(%endpoint, fingerprint, ?parts, "the endpoint crashed with the request open");
             forwarder
                 .crash_table()
                 .record_crash(&[fingerprint], Instant::now());
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -207,7 +207,7 @@
     fn record_failure(&mut self, step: StreamStep) -> String {
         match step {
             StreamStep::Closed(reason) => {
-                self.guard.mark_closed(self.admitted.fingerprint);
+                self.guard.mark_closed(&self.admitted);
                 reason
             }
             StreamStep::Failed(reason) => {
