Block prompt parts that crash endpoints

Callers saw streams break off for as long as requests with one prompt part came: each crashed another engine. Crashes were counted by the fingerprint of the whole request, which differs each time.

A crash is now attributed to every request open at the endpoint and to its shared prompt parts. Completed requests clear their parts; a part that is open in four crashes is blocked, before each send and at all routers, which learn of it through the store. A stream that ends within an event counts as broken off.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod settle;
 pub mod sizing;
 pub mod stop;
+pub mod suspect;
 pub mod token;
 
 pub use crate::{
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use {
     http::StatusCode,
-    jasminewall_core::{CustomerId, EndpointId, Tokens},
+    jasminewall_core::{CustomerId, EndpointId, Tokens, suspect::CrashSuspect},
 };
 
 use crate::{
@@ -29,8 +29,8 @@
     pub(crate) event_tokens: Tokens,
     pub(crate) hold: Option<BudgetHold>,
     pub(crate) priority: Option<u8>,
-    /// Identifies the request when the caller sends it again under another id.
-    pub(crate) fingerprint: u64,
+    /// What is suspected if an endpoint crashes while it runs the request.
+    pub(crate) suspects: Vec<CrashSuspect>,
     /// Number of times that the request was sent to an endpoint.
     pub(crate) sends: u32,
     /// Number of endpoints that could not be connected.
@@ -47,14 +47,6 @@
             || (self.route.retry_policy.may_retry() && self.runs < self.route.max_attempts)
     }
 
-    /// Ids of the prompt parts that other requests may share, which are all except the last one.
-    pub(crate) fn shared_parts(&self) -> Vec<u64> {
-        let prompt = self.request.prompt.as_ref();
-        let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
-        let shared = parts.iter().take(parts.len().saturating_sub(1));
-        shared.map(|part| part.id).collect()
-    }
-
     pub(crate) fn input_tokens(&self) -> Tokens {
         self.request
             .prompt
@@ -80,11 +72,24 @@
         self.failed = true;
     }
 
-    /// Records that the endpoint closed the connection before the response was complete.
-    pub(crate) fn mark_closed(&mut self, admitted: &AdmittedRequest) {
+    /// Called after the endpoint closed the connection before the response was complete. Finds out
+    /// whether it crashed before the request may be sent to another endpoint.
+    pub(crate) async fn check_crash(&mut self, admitted: &AdmittedRequest) {
         self.failed = true;
-        self.forwarder
-            .detect_crash(admitted, self.in_flight.endpoint(), self.address);
+        let suspects = admitted.suspects.clone();
+        if admitted.may_run_again() {
+            let check = self
+                .forwarder
+                .detect_crash(suspects, &self.in_flight, self.address);
+            check.await;
+            return;
+        }
+        let (forwarder, in_flight) = (self.forwarder.clone(), self.in_flight.clone());
+        let address = self.address;
+        tokio::spawn(async move {
+            let check = forwarder.detect_crash(suspects, &in_flight, address);
+            check.await;
+        });
     }
 
     pub(crate) fn mark_responded(&mut self) {
--- a/crates/forward/src/balancer.rs
+++ b/crates/forward/src/balancer.rs
@@ -134,6 +134,11 @@
     pub fn endpoint(&self) -> &EndpointId {
         &self.endpoint
     }
+
+    /// Start of the endpoint's run as Unix time in ms.
+    pub fn started_ms(&self) -> u64 {
+        self.started_ms
+    }
 }
 
 /// Load that one router puts on an endpoint, as sent to other routers.
--- a/crates/forward/src/buffered.rs
+++ b/crates/forward/src/buffered.rs
@@ -27,13 +27,16 @@
                 status,
                 headers,
                 length,
+                is_framed,
                 body,
                 ..
             } = open.response;
             let read = timeout_at(read_deadline.into(), read_buffered(body)).await;
             let reason = match read {
                 Ok(Ok((bytes, rest))) => {
-                    self.clear_crashes(admitted.fingerprint);
+                    if is_framed && status.is_success() {
+                        self.record_completion(&admitted.suspects);
+                    }
                     let taken_ms = admitted.request.arrived.elapsed().as_millis();
                     tracing::info!(request = %admitted.request.id, endpoint = %open.guard.endpoint(), %status, %taken_ms, "answered");
                     self.metrics
@@ -46,7 +49,7 @@
                     });
                 }
                 Ok(Err(error)) => {
-                    open.guard.mark_closed(&admitted);
+                    open.guard.check_crash(&admitted).await;
                     error.to_string()
                 }
                 Err(_) => {
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -11,8 +11,8 @@
 use {
     http::StatusCode,
     jasminewall_core::{
-        DomainId, EndpointId, HolderId, VmId,
-        crash::{self, CrashCount, CrashDecision, CrashTable},
+        DomainId, EndpointId, VmId, crash,
+        suspect::{self, CrashReport, CrashSuspect, SuspectTable},
     },
     smol_str::SmolStr,
     tokio::{sync::Notify, time::timeout_at},
@@ -22,11 +22,12 @@
     attempt::{
         AdmittedRequest, InFlightGuard, OpenResponse, is_usable, refusal_of, response_deadline,
     },
-    balancer::{LoadBalancer, PlacementQuery, RouterLoad},
+    balancer::{InFlight, LoadBalancer, PlacementQuery, RouterLoad},
     fleet::FleetView,
     manager::{BudgetManager, BudgetShortage},
     metric::ForwardMetrics,
-    port::{CallError, EndpointCall, EndpointPort, EndpointResponse},
+    notice::FleetNotice,
+    port::{CallError, EndpointCall, EndpointPort, EndpointResponse, PortState},
     record::{FleetConfig, RetryPolicy, ServiceId},
     request::{ForwardRequest, ForwardResponse, RefusalKind},
     retry::RetryBudget,
@@ -61,10 +62,10 @@
     bounds: Mutex<FleetBounds>,
     routers: AtomicUsize,
     stop: Mutex<Option<StopWindow>>,
-    crash_table: Mutex<CrashTable>,
-    /// Fingerprints of requests whose crash counts were not sent to other routers yet.
-    unshared_crashes: Mutex<Vec<u64>>,
-    pub(crate) crash_recorded: Notify,
+    suspects: Mutex<SuspectTable>,
+    /// News that was not sent to other routers yet.
+    outbox: Mutex<FleetNotice>,
+    pub(crate) notice_added: Notify,
     pub(crate) load_changed: Notify,
     pub(crate) metrics: ForwardMetrics,
 }
@@ -81,7 +82,6 @@
 impl Forwarder {
     /// Creates a forwarder that sends requests through `endpoints`.
     pub fn new(
-        holder: HolderId,
         domain: DomainId,
         view: Arc<FleetView>,
         budgets: Arc<BudgetManager>,
@@ -97,9 +97,9 @@
             bounds: Mutex::new(bounds),
             routers: AtomicUsize::new(1),
             stop: Mutex::default(),
-            crash_table: Mutex::new(CrashTable::new(holder)),
-            unshared_crashes: Mutex::default(),
-            crash_recorded: Notify::new(),
+            suspects: Mutex::default(),
+            outbox: Mutex::default(),
+            notice_added: Notify::new(),
             load_changed: Notify::new(),
             metrics: ForwardMetrics::default(),
         })
@@ -222,10 +222,8 @@
             &request.body,
         ];
         let fingerprint = crash::fingerprint(&parts);
-        let decision = self.crash_table().decide(fingerprint, Instant::now());
-        if decision == CrashDecision::Refuse {
-            return Err(RefusalKind::CrashesEndpoints);
-        }
+        let suspects = suspects_of(&request, fingerprint);
+        self.check_suspects(&request.id, &suspects)?;
         let engine = config.services.get(service).and_then(|rule| rule.engine);
         tracing::info!(
             request = %request.id, route = %route.name, service = %service, version = config.version,
@@ -259,7 +257,7 @@
             event_tokens: engine.map_or(1, |rule| rule.event_tokens.max(1)),
             hold,
             priority: engine.map(|_| priority.unwrap_or(route.priority).min(9)),
-            fingerprint,
+            suspects,
             sends: 0,
             failed_connects: 0,
             runs: 0,
@@ -296,6 +294,7 @@
         resume_from: Option<u64>,
     ) -> Result<OpenResponse, RefusalKind> {
         loop {
+            self.check_suspects(&admitted.request.id, &admitted.suspects)?;
             let (address, mut guard) = self.place(admitted)?;
             let start_deadline = response_deadline(admitted);
             let resume_from = resume_from.map(|id| SmolStr::from(id.to_string()));
@@ -349,7 +348,7 @@
                 }
                 other => {
                     if let Ok(Err(_)) = &other {
-                        self.detect_crash(admitted, &endpoint, address);
+                        guard.check_crash(admitted).await;
                     }
                     let (reason, kind) = match other {
                         Ok(Ok(response)) => (
@@ -371,57 +370,86 @@
         }
     }
 
-    /// Called after a connection broke while an endpoint ran the request. Records a crash if the
-    /// endpoint's port no longer accepts connections either.
-    pub(crate) fn detect_crash(
-        self: &Arc<Self>,
-        admitted: &AdmittedRequest,
-        endpoint: &EndpointId,
+    /// Called after a connection broke while an endpoint ran a request. Records a crash if the
+    /// endpoint's port is closed too.
+    pub(crate) async fn detect_crash(
+        &self,
+        suspects: Vec<CrashSuspect>,
+        in_flight: &InFlight,
         address: SocketAddr,
     ) {
-        let (forwarder, endpoint) = (self.clone(), endpoint.clone());
-        let fingerprint = admitted.fingerprint;
-        let parts = admitted.shared_parts();
-        tokio::spawn(async move {
-            tokio::time::sleep(CRASH_CHECK_DELAY).await;
-            if forwarder.endpoints.accepts(address).await {
-                return;
-            }
-            tracing::warn!(%endpoint, fingerprint, ?parts, "the endpoint crashed with the request open");
-            forwarder
-                .crash_table()
-                .record_crash(&[fingerprint], Instant::now());
-            forwarder.unshared_crashes().push(fingerprint);
-            forwarder.crash_recorded.notify_one();
-        });
+        tokio::time::sleep(CRASH_CHECK_DELAY).await;
+        if self.endpoints.probe(address).await != PortState::Closed {
+            return;
+        }
+        let endpoint = in_flight.endpoint();
+        tracing::warn!(%endpoint, ?suspects, "the endpoint crashed with the request open");
+        let notice = FleetNotice {
+            crashes: vec![CrashReport {
+                crash: suspect::crash_id(endpoint, in_flight.started_ms()),
+                suspects,
+            }],
+            ..FleetNotice::default()
+        };
+        self.apply_notice(&notice);
+        self.outbox().crashes.extend(notice.crashes);
+        self.notice_added.notify_one();
     }
 
-    /// Records that a request completed, which clears its crash counts.
-    pub(crate) fn clear_crashes(&self, fingerprint: u64) {
-        self.crash_table().clear(fingerprint);
+    /// Records that a request completed, which clears it and its prompt parts of the crashes so far.
+    pub(crate) fn record_completion(&self, suspects: &[CrashSuspect]) {
+        let reports = self.suspects().record_completion(suspects, Instant::now());
+        if !reports.is_empty() {
+            self.outbox().cleared.extend(reports);
+            self.notice_added.notify_one();
+        }
     }
 
-    /// Takes the crash counts that were not sent to other routers yet.
-    pub(crate) fn take_crashes(&self) -> Vec<CrashCount> {
-        let unshared_crashes = std::mem::take(&mut *self.unshared_crashes());
-        self.crash_table().counts_of(&unshared_crashes)
+    /// Takes the news that was not sent to other routers yet.
+    pub(crate) fn take_notice(&self) -> FleetNotice {
+        std::mem::take(&mut *self.outbox())
     }
 
-    /// Merges crash counts of another router.
-    pub(crate) fn merge_crashes(&self, counts: &[CrashCount]) {
-        self.crash_table().merge(counts, Instant::now());
+    /// Whether news about crashes waits to be sent.
+    pub(crate) fn has_crash_news(&self) -> bool {
+        !self.outbox().crashes.is_empty()
     }
 
-    fn crash_table(&self) -> MutexGuard<'_, CrashTable> {
-        self.crash_table
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    /// Merges news from another router.
+    pub(crate) fn merge_notice(&self, notice: &FleetNotice) {
+        self.outbox().remove_reported(notice);
+        self.apply_notice(notice);
     }
 
-    fn unshared_crashes(&self) -> MutexGuard<'_, Vec<u64>> {
-        self.unshared_crashes
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    fn apply_notice(&self, notice: &FleetNotice) {
+        let now = Instant::now();
+        let mut suspects = self.suspects();
+        for report in &notice.crashes {
+            for culprit in suspects.record_crash(report, now) {
+                tracing::warn!(
+                    ?culprit,
+                    "blocked after the crashes of several endpoints that ran it"
+                );
+            }
+        }
+        suspects.clear(&notice.cleared, now);
+    }
+
+    /// Refuses a request that crashes endpoints, or has a prompt part that does.
+    fn check_suspects(&self, id: &str, suspects: &[CrashSuspect]) -> Result<(), RefusalKind> {
+        let Some(culprit) = self.suspects().culprit_among(suspects, Instant::now()) else {
+            return Ok(());
+        };
+        tracing::info!(request = %id, ?culprit, "not sent to an endpoint");
+        Err(RefusalKind::CrashesEndpoints)
+    }
+
+    fn suspects(&self) -> MutexGuard<'_, SuspectTable> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn outbox(&self) -> MutexGuard<'_, FleetNotice> {
+        self.outbox.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Continues with another endpoint if the request may be sent again; otherwise returns the
@@ -562,3 +590,13 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// What is suspected if an endpoint crashes while it runs a request: the prompt parts that other
+/// requests may share, which are all except the last one, and the request itself.
+fn suspects_of(request: &ForwardRequest, fingerprint: u64) -> Vec<CrashSuspect> {
+    let prompt = request.prompt.as_ref();
+    let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
+    let shared = parts.iter().take(parts.len().saturating_sub(1));
+    let shared = shared.map(|part| CrashSuspect::Part(part.id));
+    shared.chain([CrashSuspect::Request(fingerprint)]).collect()
+}
--- a/crates/forward/src/group.rs
+++ b/crates/forward/src/group.rs
@@ -13,7 +13,7 @@
 };
 
 use {
-    jasminewall_core::{CustomerId, DomainId, Tokens, VmId},
+    jasminewall_core::{CustomerId, DomainId, Tokens, VmId, suspect::CRASH_TTL},
     jasminewall_ports::{
         Category, RowKey, RowPort, RowReply, RowTransaction, RowUpdate, StoredRow,
     },
@@ -28,7 +28,8 @@
     fleet::FleetView,
     forwarder::Forwarder,
     manager::{BudgetManager, DepositOutcome, PredecessorEnd, TokenPeers},
-    peer::{CrashRecord, HeartbeatRecord, PEER_TIMEOUT, PeerRecord, RouterPeerClient},
+    notice::NoticeRecord,
+    peer::{HeartbeatRecord, PEER_TIMEOUT, PeerRecord, RouterPeerClient},
     session::{SessionMode, StoreSession},
 };
 
@@ -39,6 +40,20 @@
 const HEARTBEAT_TABLE: &str = "heartbeat";
 /// Key of the heartbeat in the partition of its VM.
 const HEARTBEAT_KEY: &str = "run";
+/// Table of news about endpoints. It has its own partition, so that it does not delay other writes.
+const NOTICE_TABLE: &str = "notice";
+const NOTICE_PARTITION: &str = "notice";
+/// Number of rows that a router writes in turn. Routers that start later read these.
+const NOTICE_SLOTS: u32 = 8;
+/// Time for which crashes are batched: the connections to a crashed endpoint break one after the
+/// other.
+const NOTICE_DELAY: Duration = Duration::from_millis(30);
+/// Pause after a response with news, which batches the news of several routers in a large fleet.
+const NOTICE_PAUSE: Duration = Duration::from_millis(200);
+/// Longest delay in ms before a router reports completed suspects, and its growth per router. Of the
+/// routers that could report the same, the first one spares the others.
+const CLEAR_DELAY_MS: u64 = 100;
+const CLEAR_DELAY_PER_ROUTER_MS: u64 = 4;
 /// Longest time that a watch of the registrations waits at the store.
 const PEER_WATCH_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause after a response with changed registrations, so that routers that start together appear in
@@ -406,6 +421,13 @@
         LOAD_DELAY_PER_ROUTER * u32::try_from(routers).unwrap_or(u32::MAX)
     }
 
+    /// Random delay before completed suspects are reported.
+    fn clear_delay(&self) -> Duration {
+        let routers = self.table().entries.len() as u64 + 1;
+        let longest = CLEAR_DELAY_MS + CLEAR_DELAY_PER_ROUTER_MS * routers;
+        Duration::from_millis(rand::random_range(0..longest))
+    }
+
     /// Returns the connection to a peer, and opens it if there is none.
     async fn connect(&self, target: &PeerTarget) -> Option<RouterPeerClient> {
         if let Some(client) = &target.client {
@@ -669,20 +691,96 @@
     }
 }
 
-/// Sends counts of requests that crashed endpoints to other routers.
-pub(crate) async fn send_crashes(group: Arc<PeerGroup>, forwarder: Arc<Forwarder>) {
+/// Sends news about endpoints to other routers: to all of them through the store, and directly to
+/// some, which works without the store as well.
+pub(crate) async fn send_notices(
+    group: Arc<PeerGroup>,
+    budgets: Arc<BudgetManager>,
+    forwarder: Arc<Forwarder>,
+) {
+    let mut slot = rand::random_range(0..NOTICE_SLOTS);
     loop {
-        forwarder.crash_recorded.notified().await;
-        let counts = forwarder.take_crashes().into_iter().map(CrashRecord::from);
-        let counts: Vec<CrashRecord> = counts.collect();
+        forwarder.notice_added.notified().await;
+        let delay = if forwarder.has_crash_news() {
+            NOTICE_DELAY
+        } else {
+            group.clear_delay()
+        };
+        tokio::time::sleep(delay).await;
+        let notice = forwarder.take_notice();
+        if notice.is_empty() {
+            continue;
+        }
         for target in group.neighbours() {
-            let Some(client) = group.connect(&target).await else {
+            let (group, notice) = (group.clone(), notice.clone());
+            tokio::spawn(async move {
+                let Some(client) = group.connect(&target).await else {
+                    return;
+                };
+                let call = client.notice(peer_context(), notice);
+                if !matches!(timeout(PEER_TIMEOUT, call).await, Ok(Ok(()))) {
+                    group.mark_unresponsive(&target.vm);
+                }
+            });
+        }
+        slot = (slot + 1) % NOTICE_SLOTS;
+        let key = RowKey::new(
+            NOTICE_TABLE,
+            NOTICE_PARTITION,
+            format!("{}/{slot}", group.vm),
+        );
+        let record = NoticeRecord {
+            written_ms: budgets.session().clock(Instant::now()).unwrap_or_default(),
+            notice,
+        };
+        if let Err(error) = group.write(key, Some(&record)).await {
+            tracing::warn!(%error, "news about endpoints was not written; only some routers know it");
+        }
+    }
+}
+
+/// Merges the news about endpoints that other routers write.
+pub(crate) async fn follow_notices(group: Arc<PeerGroup>, forwarder: Arc<Forwarder>) {
+    let mut since_version = None;
+    loop {
+        let outcome = match since_version {
+            None => group.rows.read(NOTICE_TABLE, NOTICE_PARTITION).await,
+            Some(since) => {
+                let deadline = Instant::now() + PEER_WATCH_TIMEOUT;
+                group.rows.watch(NOTICE_TABLE, since, deadline).await
+            }
+        };
+        let page = match outcome {
+            Ok(page) => page,
+            Err(error) => {
+                tracing::debug!(%error, "failed to read or watch the news about endpoints");
+                if error.category() == Category::Compacted {
+                    since_version = None;
+                }
+                tokio::time::sleep(PEER_FAILURE_PAUSE).await;
                 continue;
-            };
-            let call = client.crashes(peer_context(), counts.clone());
-            if !matches!(timeout(PEER_TIMEOUT, call).await, Ok(Ok(()))) {
-                group.mark_unresponsive(&target.vm);
             }
+        };
+        let oldest_ms = match since_version {
+            None => page.now_ms.saturating_sub(CRASH_TTL.as_millis() as u64),
+            Some(_) => 0,
+        };
+        since_version = Some(page.version);
+        let is_empty = page.rows.is_empty();
+        for row in page.rows {
+            let Some(value) = row.value else { continue };
+            match serde_json::from_slice::<NoticeRecord>(&value) {
+                Ok(record) if record.written_ms >= oldest_ms => {
+                    forwarder.merge_notice(&record.notice);
+                }
+                Ok(_) => {}
+                Err(error) => {
+                    tracing::warn!(key = %row.key.key, %error, "skipped unreadable news about endpoints");
+                }
+            }
+        }
+        if !is_empty {
+            tokio::time::sleep(NOTICE_PAUSE).await;
         }
     }
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -27,6 +27,7 @@
 mod manager;
 mod metric;
 mod node;
+pub mod notice;
 pub mod peer;
 pub mod port;
 pub mod record;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -73,9 +73,8 @@
         };
         let view = Arc::new(FleetView::default());
         let peers = PeerGroup::new(setting.vm.clone(), record, ports.rows.clone());
-        let budgets = BudgetManager::new(holder.clone(), ports.rows, peers.clone());
+        let budgets = BudgetManager::new(holder, ports.rows, peers.clone());
         let forwarder = Forwarder::new(
-            holder,
             setting.failure_domain.clone(),
             view.clone(),
             budgets.clone(),
@@ -126,7 +125,13 @@
             spawn(budgets.clone().rebalance(prepaid_budgets)).abort_handle(),
             spawn(budgets.clone().hand_over_leftovers()).abort_handle(),
             spawn(group::send_loads(peers.clone(), forwarder.clone())).abort_handle(),
-            spawn(group::send_crashes(peers.clone(), forwarder.clone())).abort_handle(),
+            spawn(group::send_notices(
+                peers.clone(),
+                budgets.clone(),
+                forwarder.clone(),
+            ))
+            .abort_handle(),
+            spawn(group::follow_notices(peers.clone(), forwarder.clone())).abort_handle(),
             spawn(prune_endpoint_stats(forwarder.clone())).abort_handle(),
         ];
         Ok(Arc::new(Self {
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -1,4 +1,4 @@
-//! RPC service between routers, for newer state, loads, crash counts and tokens.
+//! RPC service between routers, for newer state, loads, news about endpoints and tokens.
 
 use std::{
     net::SocketAddr,
@@ -8,7 +8,7 @@
 
 use {
     futures_util::StreamExt,
-    jasminewall_core::{BootId, CustomerId, DomainId, HolderId, Tokens, VmId, crash::CrashCount},
+    jasminewall_core::{BootId, CustomerId, DomainId, Tokens, VmId},
     serde::{Deserialize, Serialize},
     tarpc::{
         context,
@@ -22,6 +22,7 @@
     fleet::FleetView,
     forwarder::Forwarder,
     manager::BudgetManager,
+    notice::FleetNotice,
     record::{EndpointRecord, FleetConfig},
     session::Heartbeat,
 };
@@ -61,41 +62,6 @@
     pub endpoints: Option<(u64, Vec<EndpointRecord>)>,
 }
 
-/// Number of endpoint crashes that one router run attributes to one request.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct CrashRecord {
-    /// Router run that saw the crashes.
-    pub reporter: HolderId,
-    /// Hash of customer, path and body.
-    pub fingerprint: u64,
-    /// Number of crashes.
-    pub crashes: u32,
-    /// Whether the request has completed since.
-    pub cleared: bool,
-}
-
-impl From<CrashCount> for CrashRecord {
-    fn from(count: CrashCount) -> Self {
-        Self {
-            reporter: count.reporter,
-            fingerprint: count.fingerprint,
-            crashes: count.crashes,
-            cleared: count.cleared,
-        }
-    }
-}
-
-impl From<CrashRecord> for CrashCount {
-    fn from(record: CrashRecord) -> Self {
-        Self {
-            reporter: record.reporter,
-            fingerprint: record.fingerprint,
-            crashes: record.crashes,
-            cleared: record.cleared,
-        }
-    }
-}
-
 /// RPC service that each router offers to the others.
 #[tarpc::service]
 pub trait RouterPeer {
@@ -103,8 +69,8 @@
     async fn updates(config_version: u64, endpoint_version: u64) -> FleetUpdate;
     /// Reports the load that the calling router puts on endpoints; `number` orders its messages.
     async fn loads(vm: VmId, number: u64, loads: Vec<RouterLoad>);
-    /// Reports crash counts of requests.
-    async fn crashes(counts: Vec<CrashRecord>);
+    /// Reports news about endpoints.
+    async fn notice(notice: FleetNotice);
     /// Asks for tokens of a customer; returns how many are given.
     async fn give(customer: CustomerId, wanted: Tokens) -> Tokens;
     /// Hands over tokens of a customer.
@@ -139,9 +105,8 @@
         self.forwarder.merge_loads(&vm, number, loads);
     }
 
-    async fn crashes(self, _: context::Context, counts: Vec<CrashRecord>) {
-        let counts: Vec<CrashCount> = counts.into_iter().map(Into::into).collect();
-        self.forwarder.merge_crashes(&counts);
+    async fn notice(self, _: context::Context, notice: FleetNotice) {
+        self.forwarder.merge_notice(&notice);
     }
 
     async fn deposit(self, _: context::Context, customer: CustomerId, tokens: Tokens) {
--- a/crates/forward/src/port.rs
+++ b/crates/forward/src/port.rs
@@ -78,6 +78,9 @@
     pub load: Option<EndpointLoad>,
     /// Length of the body, if known.
     pub length: Option<u64>,
+    /// Whether the end of the body is marked by a length or by chunks. Otherwise the body ends with
+    /// its connection, and a crash of the endpoint may look like the end.
+    pub is_framed: bool,
     /// Body.
     pub body: EndpointBody,
 }
@@ -86,6 +89,17 @@
 pub type CallFuture<'a> =
     Pin<Box<dyn Future<Output = Result<EndpointResponse, CallError>> + Send + 'a>>;
 
+/// Whether a process listens at an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PortState {
+    /// A process accepts connections.
+    Open,
+    /// The host refuses connections, since no process listens.
+    Closed,
+    /// No response in time.
+    Unreachable,
+}
+
 /// Sends requests to endpoints.
 pub trait EndpointPort: Send + Sync {
     /// Sends a request. Dropping the future or the body tells the endpoint to stop.
@@ -93,8 +107,8 @@
     /// Addresses to which a request can be sent without opening a connection. `retryable` has the
     /// same meaning as in [`EndpointCall`].
     fn connected(&self, retryable: bool) -> HashSet<SocketAddr>;
-    /// Whether an address accepts a connection; no request is sent.
-    fn accepts(&self, address: SocketAddr) -> Pin<Box<dyn Future<Output = bool> + Send + '_>>;
+    /// Finds out whether a process listens at an address; no request is sent.
+    fn probe(&self, address: SocketAddr) -> Pin<Box<dyn Future<Output = PortState> + Send + '_>>;
 }
 
 /// Newest configuration with the store version at which it was read.
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -20,6 +20,10 @@
 /// up after two seconds without an event.
 const GAP_LIMIT: Duration = Duration::from_millis(1_200);
 
+/// Time for which an endpoint writes events before its crash has another cause than the request. An
+/// engine crashes within a few steps after the first event, of which a slow one takes several 100 ms.
+const PROOF_TIME: Duration = Duration::from_secs(2);
+
 /// Relays the events of a stream to the caller. If the endpoint fails and the route allows it, the
 /// relay continues the stream at another endpoint.
 pub(crate) struct StreamRelay {
@@ -32,6 +36,10 @@
     event_count: u64,
     last_event_at: Instant,
     longest_gap: Duration,
+    /// See [`EndpointResponse::is_framed`](crate::port::EndpointResponse::is_framed).
+    is_framed: bool,
+    /// When enough of the stream has arrived that its endpoint does not crash with it.
+    proven_at: Option<Instant>,
     /// Set when no other endpoint may continue a slow stream: it then has until its deadline.
     waits: bool,
 }
@@ -42,10 +50,9 @@
     Complete,
     /// The endpoint sent no event for [`GAP_LIMIT`].
     Stalled,
-    /// The endpoint sent no event before the deadline, ended the stream within an event, or sent an
-    /// event that is too large.
+    /// The endpoint sent no event before the deadline, or sent an event that is too large.
     Failed(String),
-    /// The connection failed before the response was complete.
+    /// The connection failed before the response was complete, or ended within an event.
     Closed(String),
 }
 
@@ -68,6 +75,8 @@
             event_count: 0,
             last_event_at: Instant::now(),
             longest_gap: Duration::ZERO,
+            is_framed: open.response.is_framed,
+            proven_at: None,
             waits: false,
         };
         ForwardResponse::Relayed {
@@ -106,7 +115,7 @@
                         return;
                     }
                     step @ (StreamStep::Failed(_) | StreamStep::Closed(_)) => {
-                        let reason = self.record_failure(step);
+                        let reason = self.record_failure(step).await;
                         if self.resume(&reason).await {
                             continue;
                         }
@@ -131,7 +140,7 @@
                 Err(_) if Instant::now() < self.latest_end() => return StreamStep::Stalled,
                 Err(_) => return StreamStep::Failed("no event before the deadline".into()),
                 Ok(None) if self.splitter.has_partial() => {
-                    return StreamStep::Failed("the stream ended within an event".into());
+                    return StreamStep::Closed("the stream ended within an event".into());
                 }
                 Ok(None) => return StreamStep::Complete,
                 Ok(Some(Err(error))) => return StreamStep::Closed(error.to_string()),
@@ -172,6 +181,7 @@
             let gap = now.saturating_duration_since(self.last_event_at);
             self.longest_gap = self.longest_gap.max(gap);
         }
+        self.proven_at.get_or_insert(now + PROOF_TIME);
         self.last_event_at = now;
         self.last_event_id = event.id.or(self.last_event_id);
         self.event_count += 1;
@@ -204,10 +214,14 @@
     }
 
     /// Records that the endpoint failed, and returns the reason.
-    fn record_failure(&mut self, step: StreamStep) -> String {
+    async fn record_failure(&mut self, step: StreamStep) -> String {
         match step {
+            StreamStep::Closed(reason) if self.is_proven() => {
+                self.guard.mark_failed();
+                reason
+            }
             StreamStep::Closed(reason) => {
-                self.guard.mark_closed(&self.admitted);
+                self.guard.check_crash(&self.admitted).await;
                 reason
             }
             StreamStep::Failed(reason) => {
@@ -261,9 +275,11 @@
             Ok(open) if open.response.status.is_success() => {
                 tracing::info!(%request, endpoint = %open.guard.endpoint(), last_event = self.last_event_id, "the stream goes on");
                 self.guard = open.guard;
+                self.is_framed = open.response.is_framed;
                 self.body = open.response.body;
                 self.splitter = EventSplitter::default();
                 self.last_event_at = Instant::now();
+                self.proven_at = None;
                 true
             }
             Ok(open) => {
@@ -277,8 +293,15 @@
         }
     }
 
+    /// Whether the endpoint has written events for long enough that the request does not crash it.
+    fn is_proven(&self) -> bool {
+        self.proven_at.is_some_and(|at| self.last_event_at >= at)
+    }
+
     fn record_end(&self) {
-        self.forwarder.clear_crashes(self.admitted.fingerprint);
+        if self.is_framed || self.is_proven() {
+            self.forwarder.record_completion(&self.admitted.suspects);
+        }
         let arrived = self.admitted.request.arrived;
         let taken_ms = arrived.elapsed().as_millis();
         tracing::info!(
--- a/crates/forward/tests/large_fleet.rs
+++ b/crates/forward/tests/large_fleet.rs
@@ -14,7 +14,7 @@
         BudgetManager, ForwardNode, ForwardPorts, ForwardSetting, PredecessorEnd, TokenPeers,
         port::{
             CallError, CallFuture, ConfigUpdate, EndpointCall, EndpointPort, EndpointUpdate,
-            RecordPort,
+            PortState, RecordPort,
         },
         record::{CallerLimits, CustomerRule, FleetConfig},
     },
@@ -145,8 +145,8 @@
         HashSet::new()
     }
 
-    fn accepts(&self, _: SocketAddr) -> Pin<Box<dyn Future<Output = bool> + Send + '_>> {
-        Box::pin(async { false })
+    fn probe(&self, _: SocketAddr) -> Pin<Box<dyn Future<Output = PortState> + Send + '_>> {
+        Box::pin(async { PortState::Unreachable })
     }
 }
 
--- a/crates/forward/tests/log.rs
+++ b/crates/forward/tests/log.rs
@@ -13,7 +13,10 @@
     jasminewall_core::{HolderId, Tokens},
     jasminewall_forward::{
         BudgetManager, FleetView, Forwarder, PredecessorEnd,
-        port::{CallError, CallFuture, EndpointCall, EndpointChange, EndpointPort, EndpointUpdate},
+        port::{
+            CallError, CallFuture, EndpointCall, EndpointChange, EndpointPort, EndpointUpdate,
+            PortState,
+        },
         record::{
             CallerLimits, CustomerRule, EndpointRecord, EndpointState, FleetConfig, RetryPolicy,
             RouteRule,
@@ -47,8 +50,8 @@
         })
     }
 
-    fn accepts(&self, _: SocketAddr) -> Pin<Box<dyn Future<Output = bool> + Send + '_>> {
-        Box::pin(async { true })
+    fn probe(&self, _: SocketAddr) -> Pin<Box<dyn Future<Output = PortState> + Send + '_>> {
+        Box::pin(async { PortState::Open })
     }
 }
 
@@ -151,14 +154,7 @@
     );
     budgets.set_predecessor(PredecessorEnd::Unknown);
     let bounds = FleetBounds::default();
-    Forwarder::new(
-        holder,
-        "a".into(),
-        view,
-        budgets,
-        Arc::new(endpoints),
-        bounds,
-    )
+    Forwarder::new("a".into(), view, budgets, Arc::new(endpoints), bounds)
 }
 
 fn request(id: &str, input: Tokens) -> ForwardRequest {
