--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -27,7 +27,7 @@
     manager::{BudgetManager, BudgetShortage},
     metric::ForwardMetrics,
     notice::FleetNotice,
-    port::{CallError, EndpointCall, EndpointPort, EndpointResponse, PortState},
+    port::{CallError, EndpointCall, EndpointPort, EndpointResponse, EndpointSignals, PortState},
     record::{FleetConfig, RetryPolicy, ServiceId},
     request::{ForwardRequest, ForwardResponse, RefusalKind},
     retry::RetryBudget,
@@ -311,6 +311,12 @@
             let outcome = timeout_at(start_deadline.into(), self.endpoints.call(call)).await;
             let id = &admitted.request.id;
             let endpoint = guard.endpoint().clone();
+            if let Ok(Ok(response)) = &outcome
+                && let Some(signals) = response.signals
+                && signals != EndpointSignals::default()
+            {
+                tracing::info!(request = %id, %endpoint, ?signals, "the endpoint asks for something");
+            }
             match outcome {
                 Ok(Ok(response))
                     if response.not_run || response.status == StatusCode::MISDIRECTED_REQUEST =>
--- a/crates/forward/src/port.rs
+++ b/crates/forward/src/port.rs
@@ -50,6 +50,17 @@
     pub slowdown_percent: u32,
 }
 
+/// What an endpoint asks of the router with a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EndpointSignals {
+    /// Requests a second that the endpoint accepts from all routers together; `None` for no limit.
+    pub rate_limit: Option<f64>,
+    /// Whether the endpoint is about to leave.
+    pub is_leaving: bool,
+    /// When this router may send requests again, if the endpoint rejected one for now.
+    pub retry_at: Option<Instant>,
+}
+
 /// Why a call failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum CallError {
@@ -76,6 +87,8 @@
     pub not_run: bool,
     /// Load at the time of the response.
     pub load: Option<EndpointLoad>,
+    /// What the endpoint asks for; `None` if the response may not be this endpoint's.
+    pub signals: Option<EndpointSignals>,
     /// Length of the body, if known.
     pub length: Option<u64>,
     /// Whether the end of the body is marked by a length or by chunks. Otherwise the body ends with
