Send nothing to an endpoint that says in a response that it leaves

The header was not read, so a router went on until the registration changed, which some endpoints never do. The run is remembered apart from the load statistics, which are dropped while its registration is missing.

--- a/crates/forward/src/allowance.rs
+++ b/crates/forward/src/allowance.rs
@@ -232,7 +232,7 @@
         run: RunId<'_>,
         signals: EndpointSignals,
         sent: Instant,
-        _drain: Duration,
+        drain: Duration,
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<RateReport> {
@@ -241,6 +241,10 @@
             return None;
         }
         let entry = self.entry(run, now)?;
+        if signals.is_leaving && entry.leaves_at.is_none() {
+            tracing::info!(%endpoint, "the endpoint leaves, as its response says");
+            entry.leaves_at = Some(now + drain / 2);
+        }
         let limit = signals.rate_limit;
         match &mut entry.rate {
             Some(rate) if limit.is_some() => rate.named = now,
--- a/crates/forward/tests/allowance.rs
+++ b/crates/forward/tests/allowance.rs
@@ -147,3 +147,42 @@
     );
     assert!(sends.count() > 10);
 }
+
+/// Guards against requests to an endpoint that says it leaves, also after its registration lapsed
+/// and came back; a later run under its id is used.
+#[test]
+fn a_leaving_endpoint_gets_no_request_after_the_drain_time() {
+    let start = Instant::now();
+    let mut pair = records(2);
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut balancer = LoadBalancer::new("a".into());
+    let leaving = EndpointSignals {
+        is_leaving: true,
+        ..EndpointSignals::default()
+    };
+    let none = EndpointSignals::default();
+    assert_eq!(
+        send(&mut balancer, &pair[..1], leaving, start, &mut rng),
+        Some(0)
+    );
+    for _ in 0..50 {
+        assert_eq!(send(&mut balancer, &pair, none, start, &mut rng), Some(1));
+    }
+    // Until it is gone, it is better than a refusal.
+    let soon = start + DRAIN / 4;
+    assert_eq!(
+        send(&mut balancer, &pair[..1], none, soon, &mut rng),
+        Some(0)
+    );
+    balancer.retain(&[]);
+    for wait_s in [2, 60, 1_800] {
+        let later = start + Duration::from_secs(wait_s);
+        assert_eq!(send(&mut balancer, &pair[..1], none, later, &mut rng), None);
+    }
+    pair[0].started_ms = 2;
+    let later = start + Duration::from_secs(1_801);
+    assert_eq!(
+        send(&mut balancer, &pair[..1], none, later, &mut rng),
+        Some(0)
+    );
+}
