Give endpoints the pause that they ask for when they reject a request

Retry-After of a rejection was relayed but not read: the next request went to the same endpoint. A router now sends it nothing before that time; if all endpoints ask for a pause, callers are refused with the time at which the first one ends.

--- a/crates/forward/src/allowance.rs
+++ b/crates/forward/src/allowance.rs
@@ -245,6 +245,10 @@
             tracing::info!(%endpoint, "the endpoint leaves, as its response says");
             entry.leaves_at = Some(now + drain / 2);
         }
+        if let Some(until) = signals.retry_at {
+            tracing::info!(%endpoint, pause_ms = until.saturating_duration_since(now).as_millis() as u64, "the endpoint asks for a pause");
+            entry.paused_until = entry.paused_until.max(Some(until));
+        }
         let limit = signals.rate_limit;
         match &mut entry.rate {
             Some(rate) if limit.is_some() => rate.named = now,
--- a/crates/forward/tests/allowance.rs
+++ b/crates/forward/tests/allowance.rs
@@ -186,3 +186,26 @@
         Some(0)
     );
 }
+
+/// Guards against requests to an endpoint that rejected one and named a time to wait; the refusal
+/// says when it accepts requests again.
+#[test]
+fn an_endpoint_gets_no_request_while_it_asks_for_a_pause() {
+    let start = Instant::now();
+    let one = records(1);
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut balancer = LoadBalancer::new("a".into());
+    let until = start + Duration::from_secs(7);
+    let pause = EndpointSignals {
+        retry_at: Some(until),
+        ..EndpointSignals::default()
+    };
+    let none = EndpointSignals::default();
+    assert_eq!(send(&mut balancer, &one, pause, start, &mut rng), Some(0));
+    for wait_ms in [0, 500, 6_999] {
+        let now = start + Duration::from_millis(wait_ms);
+        assert_eq!(send(&mut balancer, &one, none, now, &mut rng), None);
+        assert_eq!(balancer.next_permit(&one, &[], now), Some(until));
+    }
+    assert_eq!(send(&mut balancer, &one, none, until, &mut rng), Some(0));
+}
