Believe a rejection only if it names the request

An endpoint that wrote an earlier rejection once more on a kept connection made the router report an order as not run, or send it to a second endpoint, though the first one may have run it: rejections and 421 were taken without a look at the request's id.

--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -328,9 +328,7 @@
                 self.record_signals(&guard, response);
             }
             match outcome {
-                Ok(Ok(response))
-                    if response.not_run || response.status == StatusCode::MISDIRECTED_REQUEST =>
-                {
+                Ok(Ok(response)) if response.not_run => {
                     tracing::info!(request = %id, %endpoint, status = %response.status, load = ?response.load, "rejected by the endpoint");
                     self.record_response(&mut guard, &response);
                     if response.status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/forward/src/port.rs
+++ b/crates/forward/src/port.rs
@@ -83,7 +83,8 @@
     pub headers: HeaderMap,
     /// Whether the response is signed and names the request's id.
     pub authentic: bool,
-    /// Whether the endpoint states that it has not run the request.
+    /// Whether the response names the request's id and states that the endpoint has not run it, be it
+    /// another endpoint than the addressed one.
     pub not_run: bool,
     /// Load at the time of the response.
     pub load: Option<EndpointLoad>,
