Finish the check for a crash when the caller leaves

The check of a request that may run again ended with the request, so a crash was not recorded if its caller left within 50 ms. Found by reading the change; no test fails for it.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -77,19 +77,18 @@
     pub(crate) async fn check_crash(&mut self, admitted: &AdmittedRequest) {
         self.failed = true;
         let suspects = admitted.suspects.clone();
-        if admitted.may_run_again() {
-            let check = self
-                .forwarder
-                .detect_crash(suspects, &self.in_flight, self.address);
-            check.await;
-            return;
-        }
         let (forwarder, in_flight) = (self.forwarder.clone(), self.in_flight.clone());
         let address = self.address;
-        tokio::spawn(async move {
+        // The check goes on if the caller leaves.
+        let check = tokio::spawn(async move {
             let check = forwarder.detect_crash(suspects, &in_flight, address);
             check.await;
         });
+        if admitted.may_run_again()
+            && let Err(error) = check.await
+        {
+            tracing::error!(%error, "the check for a crash failed");
+        }
     }
 
     pub(crate) fn mark_responded(&mut self) {
