--- a/crates/forward/src/manager.rs
+++ b/crates/forward/src/manager.rs
@@ -767,7 +767,7 @@
                     }
                     self.ledger().credit(&budget.customer, granted);
                     budget.state().commit_limit(limit, allowance);
-                    tracing::info!(customer = %budget.customer, granted, version, room = allowance, free = account.free(prepaid), "account changed");
+                    tracing::info!(customer = %budget.customer, granted, version, room = allowance, free = account.free(prepaid), prepaid, charged, "account changed");
                     return Ok(());
                 }
                 Ok(RowReply::Conflict(rows)) => {
