Start watches again when the store was restored

A restored store assigns the versions of its copy's future again. A router that watched from a version of the lost time got the changes since then as soon as the counter had passed it, without those made before, and missed them for good.

Versions now carry the era in which they were assigned, above 48 bits; in the first era they are the store's own. Later eras have larger versions, so comparisons between routers hold.

The in-memory store can be copied and restored, and perform writes late.

--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -28,8 +28,9 @@
         VmEntry, VmListPort, VmState, WeightPort,
     },
     row::{
-        MemoryRows, RowFault, RowKey, RowPage, RowPort, RowPrecondition, RowReply, RowTransaction,
-        RowUpdate, StoredRow,
+        FIRST_ERA, MemoryRows, RowCopy, RowFault, RowKey, RowPage, RowPort, RowPrecondition,
+        RowReply, RowTransaction, RowUpdate, StoreEra, StoredRow, era_of, era_version,
+        stored_version,
     },
     serve::{PortRequest, PortResponse, serve},
 };
--- a/crates/ports/src/row.rs
+++ b/crates/ports/src/row.rs
@@ -8,6 +8,33 @@
 
 use crate::{Category, Error, PortFuture};
 
+/// Number of a store's life: 1 at first, and one more whenever the store was restored from a copy and
+/// lost what it had acknowledged since.
+pub type StoreEra = u64;
+
+/// Era of a store that was never restored.
+pub const FIRST_ERA: StoreEra = 1;
+
+/// Bits of a version below the era. A restored store assigns the versions of its copy's future again,
+/// so a version without the era would not identify a state.
+const VERSION_BITS: u32 = 48;
+
+/// Version that a store in `era` assigned, as used by [`RowPort`]. Versions of a later era are
+/// larger. In the first era it is the store's own version.
+pub fn era_version(era: StoreEra, version: u64) -> u64 {
+    (era.saturating_sub(FIRST_ERA) << VERSION_BITS) | stored_version(version)
+}
+
+/// Era in which a version was assigned.
+pub fn era_of(version: u64) -> StoreEra {
+    (version >> VERSION_BITS) + FIRST_ERA
+}
+
+/// Version as the store itself numbers it.
+pub fn stored_version(version: u64) -> u64 {
+    version & ((1 << VERSION_BITS) - 1)
+}
+
 /// Key of a row in a partitioned table store.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RowKey {
@@ -39,7 +66,7 @@
 pub struct StoredRow {
     /// Key of the row.
     pub key: RowKey,
-    /// Version, starting at 1; versions increase across the whole store.
+    /// Version, see [`era_version`]; versions increase across the whole store. 0 if the row is absent.
     pub version: u64,
     /// Content; `None` for a removed row in the result of a watch, or an absent row in a conflict.
     pub value: Option<Bytes>,
@@ -99,14 +126,19 @@
 }
 
 /// Partitioned table store with transactions and watches.
+///
+/// A response of an earlier era than that of another response counts as lost.
 pub trait RowPort: Send + Sync {
+    /// Latest era of the store, as far as known.
+    fn era(&self) -> StoreEra;
     /// Applies all updates atomically, or none if a precondition does not hold.
     fn transact(&self, transaction: RowTransaction) -> PortFuture<'_, RowReply>;
     /// Reads all rows of a partition.
     fn read<'a>(&'a self, table: &'a str, partition: &'a str) -> PortFuture<'a, RowPage>;
     /// Waits for changes of a table after version `since`. Returns an empty page at the deadline.
     ///
-    /// Fails with `Compacted` if the history since that version is no longer available.
+    /// Fails with `Compacted` if the history since that version is no longer available, or if the
+    /// store was restored since.
     fn watch<'a>(
         &'a self,
         table: &'a str,
@@ -125,6 +157,16 @@
     Unavailable,
     /// Transactions take effect, but their responses are lost.
     LostResponses,
+    /// Transactions get no response and are performed by [`MemoryRows::perform_late_writes`].
+    LateWrites,
+}
+
+/// Copy of the state of a [`MemoryRows`].
+#[derive(Clone, Debug)]
+pub struct RowCopy {
+    rows: BTreeMap<RowKey, StoredRow>,
+    history: Vec<StoredRow>,
+    version: u64,
 }
 
 /// In-memory table store for tests.
@@ -139,8 +181,8 @@
     changed: Notify,
 }
 
-#[derive(Default)]
 struct RowState {
+    era: StoreEra,
     rows: BTreeMap<RowKey, StoredRow>,
     history: Vec<StoredRow>,
     compacted_version: u64,
@@ -150,6 +192,25 @@
     started: Option<Instant>,
     clock_offset_ms: u64,
     delay: Duration,
+    late_writes: Vec<RowTransaction>,
+}
+
+impl Default for RowState {
+    fn default() -> Self {
+        Self {
+            era: FIRST_ERA,
+            rows: BTreeMap::new(),
+            history: Vec::new(),
+            compacted_version: 0,
+            version: 0,
+            fault: RowFault::None,
+            transaction_count: 0,
+            started: None,
+            clock_offset_ms: 0,
+            delay: Duration::ZERO,
+            late_writes: Vec::new(),
+        }
+    }
 }
 
 impl MemoryRows {
@@ -172,6 +233,36 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Copies the current state.
+    pub fn copy(&self) -> RowCopy {
+        self.with_state(|state| RowCopy {
+            rows: state.rows.clone(),
+            history: state.history.clone(),
+            version: state.version,
+        })
+    }
+
+    /// Returns to an earlier state, in a new era.
+    pub fn restore(&self, copy: RowCopy) {
+        self.with_state(|state| {
+            state.era += 1;
+            state.rows = copy.rows;
+            state.history = copy.history;
+            state.version = copy.version;
+        });
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Performs the transactions of [`RowFault::LateWrites`] whose preconditions hold by now.
+    pub fn perform_late_writes(&self) {
+        self.with_state(|state| {
+            for transaction in std::mem::take(&mut state.late_writes) {
+                state.perform(transaction);
+            }
+        });
+        self.shared.changed.notify_waiters();
+    }
+
     /// Writes a row unconditionally, or removes it with `None`.
     pub fn put(&self, key: RowKey, value: Option<Bytes>) {
         self.with_state(|state| state.apply(vec![RowUpdate { key, value }]));
@@ -212,7 +303,9 @@
             if state.fault == RowFault::Unavailable {
                 return Err(Error::unavailable());
             }
-            if since < state.compacted_version {
+            let is_known = era_of(since) == state.era && stored_version(since) <= state.version;
+            let since = stored_version(since);
+            if !is_known || since < state.compacted_version {
                 return Err(Error::new(
                     Category::Compacted,
                     "the requested history was compacted; read the whole table",
@@ -222,8 +315,8 @@
             let rows = state.history.iter();
             let rows = rows.filter(|row| row.version > since && row.key.table == table);
             Ok(RowPage {
-                rows: rows.cloned().collect(),
-                version: state.version,
+                rows: rows.map(|row| state.in_era(row)).collect(),
+                version: era_version(state.era, state.version),
                 now_ms,
             })
         })
@@ -231,6 +324,18 @@
 }
 
 impl RowState {
+    /// Row with the current era in its version.
+    fn in_era(&self, row: &StoredRow) -> StoredRow {
+        let version = match row.version {
+            0 => 0,
+            version => era_version(self.era, version),
+        };
+        StoredRow {
+            version,
+            ..row.clone()
+        }
+    }
+
     fn apply(&mut self, updates: Vec<RowUpdate>) {
         self.version += 1;
         for update in updates {
@@ -262,35 +367,50 @@
         })
     }
 
+    /// Applies a transaction if its preconditions hold, and returns whether they did. Like the
+    /// platform's store, it compares versions without their era.
+    fn perform(&mut self, transaction: RowTransaction) -> bool {
+        let holds = transaction.preconditions.iter().all(|condition| {
+            self.current_row(&condition.key).version == stored_version(condition.version)
+        });
+        if holds {
+            self.apply(transaction.updates);
+        }
+        holds
+    }
+
     fn transact(&mut self, transaction: RowTransaction) -> Result<RowReply, Error> {
         if self.fault == RowFault::Unavailable {
             return Err(Error::unavailable());
         }
         self.transaction_count += 1;
-        let preconditions = &transaction.preconditions;
-        let preconditions_hold = preconditions
-            .iter()
-            .all(|condition| self.current_row(&condition.key).version == condition.version);
-        if preconditions_hold {
-            self.apply(transaction.updates);
+        if self.fault == RowFault::LateWrites {
+            self.late_writes.push(transaction);
+            return Err(Error::unknown());
         }
+        let preconditions = transaction.preconditions.clone();
+        let preconditions_hold = self.perform(transaction);
         if self.fault == RowFault::LostResponses {
             return Err(Error::unknown());
         }
         if preconditions_hold {
             return Ok(RowReply::Committed {
-                version: self.version,
+                version: era_version(self.era, self.version),
                 now_ms: self.now_ms(),
             });
         }
         let rows = preconditions
             .iter()
-            .map(|condition| self.current_row(&condition.key));
+            .map(|condition| self.in_era(&self.current_row(&condition.key)));
         Ok(RowReply::Conflict(rows.collect()))
     }
 }
 
 impl RowPort for MemoryRows {
+    fn era(&self) -> StoreEra {
+        self.with_state(|state| state.era)
+    }
+
     fn transact(&self, transaction: RowTransaction) -> PortFuture<'_, RowReply> {
         let result = self.with_state(|state| state.transact(transaction));
         let delay = self.with_state(|state| state.delay);
@@ -310,8 +430,8 @@
             let rows = state.rows.values();
             let rows = rows.filter(|row| row.key.table == table && row.key.partition == partition);
             Ok(RowPage {
-                rows: rows.cloned().collect(),
-                version: state.version,
+                rows: rows.map(|row| state.in_era(row)).collect(),
+                version: era_version(state.era, state.version),
                 now_ms,
             })
         });
