Grant no token twice after the store was restored

Customers got up to 24,248 tokens more than they had paid for: after a restore, routers took the free tokens from the restored pool row, which lacked the draws of the lost time, while their tokens were out or spent.

- Rows of a later era have keys of their own, so that a late write of an earlier era changes no row in use.
- A draw is spent only once half of the other routers remember it (in a large fleet, of those that may own grants).
- The first router that needs a pool in an era asks all of them and writes the pool: what the copy says, and what was drawn and returned since.
If so many forgot that a draw may be unknown to the rest, it waits for three seconds, and then counts the rest of the pool as drawn.
Own grants go on serving.
- A heartbeat names the era in which the run's accounts stand; a successor takes over nothing from one of an earlier era.

--- a/crates/forward/src/account.rs
+++ b/crates/forward/src/account.rs
@@ -4,22 +4,41 @@
 //! drawn from the budget. The row `grant/VM` is the account of the router on that VM. One
 //! transaction over both rows moves tokens from the pool to an account. The drawn tokens therefore
 //! never exceed the budget, even if responses are lost or calls are repeated.
+//!
+//! In later eras of the store the keys name the era (`pool@2`, `grant@2/VM`), so that a late write of
+//! an earlier era changes no row in use. The first router that needs a pool in an era writes it, with
+//! the rows of all VMs that drew from it; see [`draws`](crate::draws).
 
-use std::time::Duration;
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use {
     bytes::Bytes,
     jasminewall_core::{BootId, CustomerId, Tokens, VmId},
-    jasminewall_ports::{RowKey, RowPrecondition, RowTransaction, RowUpdate, StoredRow},
+    jasminewall_ports::{
+        FIRST_ERA, RowKey, RowPrecondition, RowTransaction, RowUpdate, StoreEra, StoredRow,
+    },
     serde::{Deserialize, Serialize},
 };
 
+use crate::draws::{COPY_AGE_MAX, DrawMap, DrawTotals, PoolCopy};
+
 /// Table of all prepaid budgets.
 pub const SPEND_TABLE: &str = "spend";
 /// Key of the pool row.
 const POOL_KEY: &str = "pool";
 /// Prefix of the account keys.
 const GRANT_PREFIX: &str = "grant/";
+/// Prefixes of the pool and account keys in later eras, before the number of the era.
+const ERA_POOL_PREFIX: &str = "pool@";
+const ERA_GRANT_PREFIX: &str = "grant@";
+/// Stands for the run in an account that the first router of an era wrote for a VM.
+const NO_BOOT: BootId = 0;
+/// Largest number of accounts in the transaction that starts an era; a transaction has at most a
+/// hundred entries.
+const JOINED_ACCOUNTS_MAX: usize = 98;
 
 /// Tokens that all routers drew from a budget, less the returned ones.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -52,6 +71,9 @@
     /// Growth rate of `open` while the run's heartbeat is late, in tokens per second.
     #[serde(default)]
     pub late_rate: Tokens,
+    /// Tokens that all runs of the VM exchanged with the pool.
+    #[serde(default)]
+    pub totals: DrawTotals,
 }
 
 /// Tokens by which `open` grows while a heartbeat is late; rounded down.
@@ -102,16 +124,46 @@
     own: AccountRow,
 }
 
+/// Rows of one era.
+#[derive(Clone, Debug, Default)]
+struct EraRows {
+    pool: Option<Versioned<PoolRow>>,
+    grants: BTreeMap<VmId, Versioned<AccountRow>>,
+}
+
+/// Result of a read of all rows of a customer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LoadedRows {
+    /// The rows of the era are known.
+    Known,
+    /// The store was restored, and no router has written the pool of the era yet.
+    Unjoined(PoolCopy),
+}
+
+/// Draws that are committed but may not be spent yet, since too few routers know of them.
+#[derive(Clone, Copy, Debug)]
+struct UnconfirmedDraws {
+    tokens: Tokens,
+    /// When any copy of the store includes them.
+    safe_at: Instant,
+}
+
 /// One router run's cache of the rows of a customer.
 #[derive(Clone, Debug)]
 pub struct CustomerAccount {
     customer: CustomerId,
     vm: VmId,
     boot: BootId,
+    /// Era of the cached rows.
+    era: StoreEra,
     pool: Versioned<PoolRow>,
     /// Row of this VM, which may still be that of a previous run.
     own: Versioned<AccountRow>,
+    /// Account of this run in earlier eras.
+    carried: AccountRow,
+    unconfirmed: Option<UnconfirmedDraws>,
     others_unspent: Tokens,
+    all_totals: DrawMap,
     /// Tokens returned by this run, including those that the next change returns.
     returned: Tokens,
     known: bool,
@@ -126,15 +178,80 @@
             customer,
             vm,
             boot,
+            era: FIRST_ERA,
             pool: Versioned::default(),
             own: Versioned::default(),
+            carried: AccountRow::default(),
+            unconfirmed: None,
             others_unspent: 0,
+            all_totals: DrawMap::new(),
             returned: 0,
             known: false,
             predecessor: None,
         }
     }
 
+    /// Era of the cached rows.
+    pub fn era(&self) -> StoreEra {
+        self.era
+    }
+
+    /// Forgets the rows of earlier eras. The account of this run goes on as this run knows it;
+    /// unconfirmed draws are dropped, since the pool of the new era may not include them.
+    pub fn begin_era(&mut self, era: StoreEra) {
+        let unconfirmed = self.unconfirmed.take().map_or(0, |draws| draws.tokens);
+        let mut carried = self.own_account();
+        carried.granted = carried.granted.saturating_sub(unconfirmed);
+        carried.totals.drawn = carried.totals.drawn.saturating_sub(unconfirmed);
+        self.carried = carried;
+        self.era = era;
+        self.pool = Versioned::default();
+        self.own = Versioned::default();
+        self.known = false;
+    }
+
+    /// Tokens of unconfirmed draws.
+    pub fn unconfirmed(&self) -> Tokens {
+        self.unconfirmed.map_or(0, |draws| draws.tokens)
+    }
+
+    /// Whether unconfirmed draws may be spent although too few routers know of them.
+    pub fn is_copied(&self, now: Instant) -> bool {
+        self.unconfirmed.is_none_or(|draws| draws.safe_at <= now)
+    }
+
+    /// Adds draws that other routers must know of before they are spent.
+    pub fn add_unconfirmed(&mut self, tokens: Tokens, now: Instant) {
+        if tokens > 0 {
+            self.unconfirmed = Some(UnconfirmedDraws {
+                tokens: self.unconfirmed() + tokens,
+                safe_at: now + COPY_AGE_MAX,
+            });
+        }
+    }
+
+    /// Takes the draws that may be spent from now on.
+    pub fn take_unconfirmed(&mut self) -> Tokens {
+        self.unconfirmed.take().map_or(0, |draws| draws.tokens)
+    }
+
+    /// Whether this run has not written its account in the current era yet.
+    pub fn is_carried(&self) -> bool {
+        self.own.row.boot != self.boot
+    }
+
+    /// Totals of all VMs in the era's rows, as of the last read of all rows.
+    pub fn all_totals(&self) -> &DrawMap {
+        &self.all_totals
+    }
+
+    /// Totals of this VM as of the last read or commit.
+    pub fn own_totals(&self) -> DrawTotals {
+        let mut totals = self.carried.totals;
+        totals.merge(self.own.row.totals);
+        totals
+    }
+
     /// Sets the previous run on this VM, whose heartbeat was late by at most `late` when the run
     /// ended. The next change takes over the tokens that the run cannot have consumed.
     pub fn set_predecessor(&mut self, predecessor: BootId, late: Duration) {
@@ -170,7 +287,7 @@
 
     /// Tokens that wait to be returned to the pool by the next change.
     pub fn pending_return(&self) -> Tokens {
-        self.returned - self.own_account().returned
+        self.returned.saturating_sub(self.own_account().returned)
     }
 
     /// Adds tokens that the next change returns to the pool. They must have been removed from the
@@ -179,37 +296,95 @@
         self.returned += tokens;
     }
 
-    /// Loads all rows of the partition. Returns the newly granted tokens.
-    pub fn load_all(&mut self, rows: &[StoredRow]) -> Tokens {
-        self.pool = Versioned::default();
-        let before = self.own_account().granted;
-        self.own = Versioned::default();
-        self.others_unspent = 0;
+    /// Loads all rows of the partition, and adds draws that are new to this run to the unconfirmed
+    /// ones.
+    pub fn load_all(&mut self, rows: &[StoredRow], now: Instant) -> LoadedRows {
+        let mut eras: BTreeMap<StoreEra, EraRows> = BTreeMap::new();
         for row in rows {
-            if row.key.key == POOL_KEY {
-                self.pool = decode(row, UNREADABLE_POOL);
-            } else if row.key.key == self.own_key().key {
-                self.own = decode(row, AccountRow::default());
-            } else if row.key.key.starts_with(GRANT_PREFIX) {
-                self.others_unspent += decode(row, AccountRow::default()).row.unspent();
+            match parse_key(&row.key.key) {
+                Some((era, None)) => {
+                    eras.entry(era).or_default().pool = Some(decode(row, UNREADABLE_POOL));
+                }
+                Some((era, Some(vm))) => {
+                    let account = decode(row, AccountRow::default());
+                    eras.entry(era).or_default().grants.insert(vm, account);
+                }
+                None => tracing::warn!(key = ?row.key, "skipped a row with an unknown key"),
             }
         }
+        let current = eras.remove(&self.era).unwrap_or_default();
+        if self.era > FIRST_ERA && current.pool.is_none() {
+            return LoadedRows::Unjoined(pool_copy(&eras));
+        }
+        let before = self.own_account().granted;
+        self.pool = current.pool.unwrap_or_default();
+        let own = current.grants.get(&self.vm).copied();
+        self.load_own(own.unwrap_or_default());
+        let others = current.grants.iter().filter(|(vm, _)| **vm != self.vm);
+        self.others_unspent = others.map(|(_, account)| account.row.unspent()).sum();
+        let totals = current.grants.iter();
+        self.all_totals = totals
+            .map(|(vm, account)| (vm.clone(), account.row.totals))
+            .collect();
         self.known = true;
-        self.own_account().granted.saturating_sub(before)
+        let granted = self.own_account().granted.saturating_sub(before);
+        self.add_unconfirmed(granted, now);
+        LoadedRows::Known
+    }
+
+    /// Loads the row of this VM. The router that started the era may have found a change of this run
+    /// whose outcome is unknown here. Returned tokens then do not return again. Drawn ones stay
+    /// unspent: the draw may have been performed late, on rows of an earlier era that no longer count.
+    fn load_own(&mut self, own: Versioned<AccountRow>) {
+        self.own = own;
+        let is_joined = own.version > 0 && own.row.boot == NO_BOOT;
+        if is_joined && self.carried.boot == self.boot {
+            let (totals, carried) = (own.row.totals, &mut self.carried);
+            carried.returned += totals.returned.saturating_sub(carried.totals.returned);
+            carried.totals.merge(totals);
+        }
+    }
+
+    /// Transaction that starts the era: the pool with `drawn` net tokens, and the totals of all VMs.
+    pub fn start_era(&self, drawn: Tokens, known: &DrawMap) -> RowTransaction {
+        let pool = RowUpdate {
+            key: self.pool_key(),
+            value: Some(encode(&PoolRow { drawn })),
+        };
+        let accounts = known.iter().take(JOINED_ACCOUNTS_MAX);
+        let accounts = accounts.map(|(vm, totals)| RowUpdate {
+            key: self.grant_key(vm),
+            // Counts as unspent until the VM's run writes what it has spent.
+            value: Some(encode(&AccountRow {
+                boot: NO_BOOT,
+                granted: totals.drawn,
+                returned: totals.returned,
+                totals: *totals,
+                ..AccountRow::default()
+            })),
+        });
+        RowTransaction {
+            preconditions: vec![RowPrecondition {
+                key: self.pool_key(),
+                version: 0,
+            }],
+            updates: accounts.chain([pool]).collect(),
+        }
     }
 
-    /// Loads the rows that a conflict returned. Returns the newly granted tokens.
-    pub fn load_conflict(&mut self, rows: &[StoredRow]) -> Tokens {
+    /// Loads the rows that a conflict returned; see [`load_all`](Self::load_all).
+    pub fn load_conflict(&mut self, rows: &[StoredRow], now: Instant) {
         let before = self.own_account().granted;
         for row in rows {
-            if row.key.key == POOL_KEY {
+            if row.key == self.pool_key() {
                 self.pool = decode(row, UNREADABLE_POOL);
-            } else if row.key.key == self.own_key().key {
-                self.own = decode(row, AccountRow::default());
+            } else if row.key == self.own_key() {
+                self.load_own(decode(row, AccountRow::default()));
             }
         }
         self.known = true;
-        self.own_account().granted.saturating_sub(before)
+        let granted = self.own_account().granted.saturating_sub(before);
+        self.add_unconfirmed(granted, now);
     }
 
     /// Builds a change that draws `draw` tokens from the pool, returns the pending ones to it and
@@ -224,6 +399,7 @@
     ) -> Option<AccountChange> {
         let before = self.own_account();
         let pending_return = self.pending_return();
+        let totals = self.own_totals();
         let own = AccountRow {
             boot: self.boot,
             granted: before.granted + draw + self.inheritable(),
@@ -232,6 +408,10 @@
             charged: usage.charged,
             open: usage.open,
             late_rate: usage.late_rate,
+            totals: DrawTotals {
+                drawn: totals.drawn + draw,
+                returned: totals.returned + pending_return,
+            },
         };
         let drawn = self
             .pool
@@ -242,7 +422,8 @@
         if draw > 0 && drawn > prepaid {
             return None;
         }
-        if own == before || (own.granted == 0 && pending_return == 0 && self.own.version == 0) {
+        let is_stored = own == before && self.own.row.boot == self.boot;
+        if is_stored || (own.granted == 0 && pending_return == 0 && self.own.version == 0) {
             return None;
         }
         let pool = PoolRow { drawn };
@@ -306,11 +487,11 @@
 
     /// Whether the row of this VM still holds the account of a previous run.
     pub fn holds_previous_run(&self) -> bool {
-        self.own.version > 0 && self.own.row.boot != self.boot
+        self.own.version > 0 && ![self.boot, NO_BOOT].contains(&self.own.row.boot)
     }
 
-    /// Account of this run as last read or written; empty while the row holds that of a previous
-    /// run.
+    /// Account of this run as last read or written; that of the earlier eras while the row holds
+    /// none.
     pub fn stored(&self) -> AccountRow {
         self.own_account()
     }
@@ -320,20 +501,63 @@
         if self.own.row.boot == self.boot {
             self.own.row
         } else {
-            AccountRow::default()
+            self.carried
         }
     }
 
     fn pool_key(&self) -> RowKey {
-        RowKey::new(SPEND_TABLE, self.customer.clone(), POOL_KEY)
+        let key = match self.era {
+            FIRST_ERA => POOL_KEY.to_owned(),
+            era => format!("{ERA_POOL_PREFIX}{era}"),
+        };
+        RowKey::new(SPEND_TABLE, self.customer.clone(), key)
     }
 
     fn own_key(&self) -> RowKey {
-        let key = format!("{GRANT_PREFIX}{}", self.vm);
+        self.grant_key(&self.vm)
+    }
+
+    fn grant_key(&self, vm: &VmId) -> RowKey {
+        let key = match self.era {
+            FIRST_ERA => format!("{GRANT_PREFIX}{vm}"),
+            era => format!("{ERA_GRANT_PREFIX}{era}/{vm}"),
+        };
         RowKey::new(SPEND_TABLE, self.customer.clone(), key)
     }
 }
 
+/// Era of a row, and the VM if it is an account; `None` if the key is unknown.
+fn parse_key(key: &str) -> Option<(StoreEra, Option<VmId>)> {
+    if key == POOL_KEY {
+        return Some((FIRST_ERA, None));
+    }
+    if let Some(vm) = key.strip_prefix(GRANT_PREFIX) {
+        return Some((FIRST_ERA, Some(vm.into())));
+    }
+    if let Some(era) = key.strip_prefix(ERA_POOL_PREFIX) {
+        return Some((era.parse().ok()?, None));
+    }
+    let (era, vm) = key.strip_prefix(ERA_GRANT_PREFIX)?.split_once('/')?;
+    Some((era.parse().ok()?, Some(vm.into())))
+}
+
+/// Pool of the latest of some eras, and the largest totals of all of them.
+fn pool_copy(eras: &BTreeMap<StoreEra, EraRows>) -> PoolCopy {
+    let mut copy = PoolCopy::default();
+    for rows in eras.values() {
+        let totals =
+            |(vm, account): (&VmId, &Versioned<AccountRow>)| (vm.clone(), account.row.totals);
+        for (vm, totals) in rows.grants.iter().map(totals) {
+            copy.known.entry(vm).or_default().merge(totals);
+        }
+        if let Some(pool) = rows.pool {
+            copy.drawn = pool.row.drawn;
+            copy.included = rows.grants.iter().map(totals).collect();
+        }
+    }
+    copy
+}
+
 /// Stands for an unreadable pool row. Its budget counts as spent, not as unused.
 const UNREADABLE_POOL: PoolRow = PoolRow {
     drawn: Tokens::MAX / 2,
--- a/crates/forward/src/budget.rs
+++ b/crates/forward/src/budget.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     account::{AccountRow, CustomerAccount, late_tokens},
+    draws::DrawMap,
     manager::BudgetShortage,
 };
 
@@ -64,6 +65,10 @@
     pub(crate) refilling: bool,
     /// Pool that recently had too few tokens.
     pub(crate) exhausted: Option<ExhaustedPool>,
+    /// Draws from the pool as far as known, those of other routers included.
+    pub(crate) known_draws: DrawMap,
+    /// Whether all draws before this run's start are in `known_draws`.
+    pub(crate) knows_earlier_draws: bool,
     /// Set when a peer got fewer tokens than it asked for: the pool may hold fewer than known here.
     pub(crate) pool_stale: bool,
 }
@@ -90,6 +95,13 @@
 }
 
 impl SpendLimit {
+    /// Limit of a run whose accounts no successor can take over.
+    pub(crate) const UNLIMITED: Self = Self {
+        tokens: Tokens::MAX,
+        received: 0,
+        late_rate: 0,
+    };
+
     pub(crate) fn of(row: AccountRow) -> Self {
         Self {
             tokens: row.charged + row.open,
@@ -100,7 +112,8 @@
 
     fn allowed(self, received: Tokens, late: Duration) -> Tokens {
         let grown = late_tokens(self.late_rate, late);
-        (self.tokens + received + grown).saturating_sub(self.received)
+        let allowed = self.tokens.saturating_add(received).saturating_add(grown);
+        allowed.saturating_sub(self.received)
     }
 }
 
@@ -184,6 +197,14 @@
         self.pending_limits.pop();
     }
 
+    /// Lifts all limits, since a successor does not take over accounts of an earlier era of the
+    /// store.
+    pub(crate) fn begin_era(&mut self) {
+        self.limit = SpendLimit::UNLIMITED;
+        self.pending_limits.clear();
+        self.exhausted = None;
+    }
+
     /// Applies the limit of a committed change. Earlier changes cannot be committed any more,
     /// because their preconditions name older row versions.
     pub(crate) fn commit_limit(&mut self, limit: SpendLimit, allowance: Tokens) {
--- a/crates/forward/src/group.rs
+++ b/crates/forward/src/group.rs
@@ -13,9 +13,10 @@
 };
 
 use {
+    futures_util::{StreamExt, future::join_all, stream::FuturesUnordered},
     jasminewall_core::{CustomerId, DomainId, Tokens, VmId, suspect::CRASH_TTL},
     jasminewall_ports::{
-        Category, RowKey, RowPort, RowReply, RowTransaction, RowUpdate, StoredRow,
+        Category, RowKey, RowPort, RowReply, RowTransaction, RowUpdate, StoreEra, StoredRow, era_of,
     },
     rand::seq::IndexedRandom,
     serde::Serialize,
@@ -25,6 +26,7 @@
 };
 
 use crate::{
+    draws::{DrawRecord, DrawSurvey, acks_needed},
     fleet::FleetView,
     forwarder::Forwarder,
     manager::{BudgetManager, DepositOutcome, PredecessorEnd, TokenPeers},
@@ -33,6 +35,8 @@
     session::{SessionMode, StoreSession},
 };
 
+/// Longest delay in ms before a router writes its accounts into a new era of the store.
+const ENTER_ERA_DELAY_MS: u64 = 100;
 /// Table of registered routers.
 const PEER_TABLE: &str = "router";
 /// Table of heartbeats, with a partition for each VM. They are apart from the registrations, so that
@@ -114,6 +118,8 @@
     entries: HashMap<VmId, PeerEntry>,
     /// Routers that may own grants, this one included, by failure domain.
     owner_pools: BTreeMap<DomainId, Vec<VmId>>,
+    /// Era of the store in which the registrations were last read in full.
+    era: Option<StoreEra>,
 }
 
 impl PeerTable {
@@ -210,6 +216,7 @@
         let record = HeartbeatRecord {
             boot: self.record.boot,
             heartbeat: budgets.session().heartbeat(now),
+            era: budgets.entered_era(),
         };
         budgets.session().heartbeat_sent(now);
         let written = self.write(self.heartbeat_key(), Some(&record)).await;
@@ -248,11 +255,15 @@
             }
         };
         let late = StoreSession::max_lateness(record.heartbeat, page.now_ms);
+        // A restored heartbeat says nothing of what the run consumed in the lost time.
+        let is_current = record.era == era_of(page.version);
         Ok(match late {
-            Some(late) if record.boot != self.record.boot => PredecessorEnd::Attached {
-                boot: record.boot,
-                late,
-            },
+            Some(late) if is_current && record.boot != self.record.boot => {
+                PredecessorEnd::Attached {
+                    boot: record.boot,
+                    late,
+                }
+            }
             _ => PredecessorEnd::Unknown,
         })
     }
@@ -312,6 +323,19 @@
         }
     }
 
+    /// Other routers that remember draws: all of a small fleet, or those that may own grants.
+    fn keepers(&self) -> Vec<PeerTarget> {
+        let table = self.table();
+        if table.is_small() {
+            let entries = table.entries.iter();
+            return entries.map(|(vm, entry)| entry.target(vm)).collect();
+        }
+        let pools = table.owner_pools.values().flatten();
+        pools
+            .filter_map(|vm| table.entries.get(vm).map(|entry| entry.target(vm)))
+            .collect()
+    }
+
     /// Routers that own grants of a customer in a large fleet: one per failure domain, with this
     /// router's domain first. `None` stands for this router.
     fn owners(&self, customer: &CustomerId) -> Vec<Option<PeerTarget>> {
@@ -351,10 +375,14 @@
 
     /// Applies registrations from the store: all of them, or those that changed. Returns whether
     /// this router's own registration is missing.
-    fn apply_registrations(&self, rows: Vec<StoredRow>, all: bool) -> bool {
+    ///
+    /// A restored store lacks the registrations of the lost time, so the first read in an era drops
+    /// none.
+    fn apply_registrations(&self, rows: Vec<StoredRow>, all: bool, era: StoreEra) -> bool {
         let mut table = self.table();
         let mut entries = std::mem::take(&mut table.entries);
-        let mut previous = if all {
+        let is_restored = table.era.replace(era).is_some_and(|before| before < era);
+        let mut previous = if all && !is_restored {
             std::mem::take(&mut entries)
         } else {
             HashMap::new()
@@ -531,6 +559,69 @@
         })
     }
 
+    fn keeps_draws(&self) -> bool {
+        let table = self.table();
+        let mut pools = table.owner_pools.values();
+        table.is_small() || pools.any(|pool| pool.contains(&self.vm))
+    }
+
+    fn record_draw<'a>(
+        &'a self,
+        customer: &'a CustomerId,
+        record: DrawRecord,
+    ) -> Pin<Box<dyn Future<Output = bool> + Send + 'a>> {
+        Box::pin(async move {
+            if self.table().era.is_none() {
+                // The other routers are not known yet.
+                return false;
+            }
+            let keepers = self.keepers();
+            let (needed, record) = (acks_needed(keepers.len()), &record);
+            let calls = keepers.into_iter().map(|target| async move {
+                let client = self.connect(&target).await?;
+                let call = client.record_draw(peer_context(), customer.clone(), record.clone());
+                match timeout(PEER_TIMEOUT, call).await {
+                    Ok(Ok(remembered)) => Some(remembered),
+                    _ => {
+                        self.mark_unresponsive(&target.vm);
+                        None
+                    }
+                }
+            });
+            let mut calls: FuturesUnordered<_> = calls.collect();
+            let mut acks = 0;
+            while acks < needed {
+                match calls.next().await {
+                    Some(Some(true)) => acks += 1,
+                    Some(_) => {}
+                    None => return false,
+                }
+            }
+            true
+        })
+    }
+
+    fn survey_draws<'a>(
+        &'a self,
+        customer: &'a CustomerId,
+        era: StoreEra,
+    ) -> Pin<Box<dyn Future<Output = DrawSurvey> + Send + 'a>> {
+        Box::pin(async move {
+            let keepers = self.keepers();
+            let count = keepers.len() + 1;
+            let calls = keepers.into_iter().map(|target| async move {
+                let client = self.connect(&target).await?;
+                let call = client.report_draws(peer_context(), customer.clone(), era);
+                timeout(PEER_TIMEOUT, call).await.ok()?.ok()
+            });
+            let reports = join_all(calls).await;
+            DrawSurvey {
+                keepers: count,
+                reports: reports.into_iter().flatten().collect(),
+            }
+        })
+    }
+
     fn deposit<'a>(
         &'a self,
         customer: &'a CustomerId,
@@ -610,7 +701,8 @@
         if page.rows.is_empty() && !read_all {
             continue;
         }
-        own_missing = group.apply_registrations(page.rows, read_all) || own_missing;
+        let era = era_of(page.version);
+        own_missing = group.apply_registrations(page.rows, read_all, era) || own_missing;
         let others = group.table().entries.keys().cloned().collect();
         budgets.session().set_writers(group.heartbeat_group());
         on_change(others, group.owner_count());
@@ -632,6 +724,12 @@
         tokio::time::sleep(PEER_FAILURE_PAUSE).await;
     }
     while !group.is_leaving() {
+        if budgets.current_era() > budgets.entered_era() {
+            // Spreads the transactions of routers that notice the new era together.
+            let delay = rand::random_range(0..ENTER_ERA_DELAY_MS);
+            tokio::time::sleep(Duration::from_millis(delay)).await;
+            budgets.enter_era().await;
+        }
         let mode = budgets.session().mode(Instant::now());
         if matches!(mode, SessionMode::Late | SessionMode::Detached) {
             // Shows whether the store responds again.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -20,6 +20,7 @@
 mod balancer;
 mod budget;
 mod buffered;
+pub mod draws;
 mod fleet;
 mod follow;
 mod forwarder;
--- a/crates/forward/src/manager.rs
+++ b/crates/forward/src/manager.rs
@@ -12,7 +12,7 @@
 use {
     futures_util::future::join_all,
     jasminewall_core::{BootId, CustomerId, GrantLedger, HolderId, RequestId, Tokens},
-    jasminewall_ports::{Category, RowPort, RowReply},
+    jasminewall_ports::{Category, FIRST_ERA, RowPort, RowReply, StoreEra, era_of},
     rand::Rng,
     tokio::{
         sync::{Mutex as AsyncMutex, Notify},
@@ -21,8 +21,12 @@
 };
 
 use crate::{
-    account::{AccountUsage, CustomerAccount, SPEND_TABLE},
+    account::{AccountUsage, CustomerAccount, LoadedRows, SPEND_TABLE},
     budget::{CustomerBudget, ExhaustedPool, SpendLimit},
+    draws::{
+        COPY_AGE_MAX, DrawRecord, DrawReport, DrawSurvey, JOIN_PATIENCE, PoolCopy, PoolJoin,
+        drawn_since, join_pool, merge_totals,
+    },
     session::{SessionMode, StoreSession},
 };
 
@@ -110,6 +114,21 @@
         minimum: Tokens,
         wanted: Tokens,
     ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>>;
+    /// Whether this router remembers draws for others.
+    fn keeps_draws(&self) -> bool;
+    /// Tells the routers that remember draws of one. Returns whether enough of them know it; see
+    /// [`draws`](crate::draws).
+    fn record_draw<'a>(
+        &'a self,
+        customer: &'a CustomerId,
+        record: DrawRecord,
+    ) -> Pin<Box<dyn Future<Output = bool> + Send + 'a>>;
+    /// Asks the routers that remember draws for those of a customer, at the start of an era.
+    fn survey_draws<'a>(
+        &'a self,
+        customer: &'a CustomerId,
+        era: StoreEra,
+    ) -> Pin<Box<dyn Future<Output = DrawSurvey> + Send + 'a>>;
     /// Hands tokens over to a peer that owns a grant.
     fn deposit<'a>(
         &'a self,
@@ -128,6 +147,13 @@
     /// When the store may be called again after a failure.
     store_pause_end: Mutex<Option<Instant>>,
     session: Mutex<StoreSession>,
+    started: Instant,
+    /// Latest era of the store, and when this router learned of it.
+    latest_era: Mutex<(StoreEra, Instant)>,
+    /// Era in whose rows the accounts of this run stand.
+    entered_era: AtomicU64,
+    /// Whether this router has read the accounts of all customers, or need not.
+    has_learned_draws: AtomicBool,
     /// How the previous run ended; `None` until the router has found out.
     predecessor: Mutex<Option<PredecessorEnd>>,
     /// Number of routers that own a grant of each customer.
@@ -154,6 +180,8 @@
     },
     /// It may have consumed whole grants, or there was no previous run.
     Unknown,
+    /// The store was restored since, and this is the first run on the VM that met it.
+    BeforeRestore,
 }
 
 /// Tokens reserved for one request; settled on drop.
@@ -208,6 +236,10 @@
             budgets: Mutex::default(),
             store_pause_end: Mutex::default(),
             session: Mutex::default(),
+            started: Instant::now(),
+            latest_era: Mutex::new((FIRST_ERA, Instant::now())),
+            entered_era: AtomicU64::new(FIRST_ERA),
+            has_learned_draws: AtomicBool::new(false),
             predecessor: Mutex::default(),
             owner_count: AtomicU64::new(1),
             next_hold: AtomicU64::new(0),
@@ -362,6 +394,10 @@
 
     /// Sets how the previous run ended. No account is changed before this is known.
     pub fn set_predecessor(&self, end: PredecessorEnd) {
+        if end != PredecessorEnd::BeforeRestore {
+            self.entered_era
+                .store(self.current_era(), Ordering::Relaxed);
+        }
         *self.predecessor() = Some(end);
     }
 
@@ -518,6 +554,7 @@
         let jitter = rand::rng().random_range(0..PREFETCH_JITTER_MS);
         let start = Instant::now() + Duration::from_millis(PREFETCH_DELAY_MS + jitter);
         while Instant::now() < start && !self.may_inherit() {
+            self.learn_draws(&prepaid_budgets()).await;
             tokio::time::sleep(INHERIT_POLL).await;
         }
         let mut tick = tokio::time::interval(REBALANCE_INTERVAL);
@@ -525,6 +562,7 @@
         loop {
             tick.tick().await;
             let prepaid_budgets = prepaid_budgets();
+            self.learn_draws(&prepaid_budgets).await;
             let prefetch = prepaid_budgets.len() <= PREFETCH_CUSTOMERS;
             for (customer, prepaid) in prepaid_budgets {
                 let draws_ahead =
@@ -538,6 +576,124 @@
         }
     }
 
+    /// Reads the accounts of customers whose earlier draws this router does not know, so that it can
+    /// tell others of them when the store is restored.
+    pub async fn learn_draws(&self, prepaid_budgets: &[(CustomerId, Tokens)]) {
+        if prepaid_budgets.len() > PREFETCH_CUSTOMERS || !self.peers.keeps_draws() {
+            self.has_learned_draws.store(true, Ordering::Relaxed);
+            return;
+        }
+        let mut learned = !prepaid_budgets.is_empty();
+        for (customer, prepaid) in prepaid_budgets {
+            let budget = self.budget(customer);
+            if budget.state().knows_earlier_draws {
+                continue;
+            }
+            if self.is_store_paused() {
+                return;
+            }
+            budget.raise_prepaid(*prepaid);
+            let mut account = budget.account.lock().await;
+            if let Err(shortage) = self.read_accounts(&budget, &mut account).await {
+                tracing::debug!(%customer, ?shortage, "failed to read the draws of a customer");
+                learned = false;
+            }
+        }
+        if learned {
+            self.has_learned_draws.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Writes this run's accounts into the current era of the store, so that a successor can take
+    /// them over. Has no effect if they stand there already.
+    pub async fn enter_era(&self) {
+        let era = self.current_era();
+        let is_first_run = *self.predecessor() == Some(PredecessorEnd::BeforeRestore);
+        let has_learned = self.has_learned_draws.load(Ordering::Relaxed);
+        if self.entered_era() == era || (is_first_run && !has_learned) {
+            return;
+        }
+        let budgets: Vec<Arc<CustomerBudget>> = self.budgets().values().cloned().collect();
+        for budget in budgets {
+            let mut account = budget.account.lock().await;
+            if account.era() == era && account.is_known() {
+                continue;
+            }
+            if let Err(shortage) = self.commit_change(&budget, &mut account, 0, |_| 0).await {
+                tracing::info!(customer = %budget.customer, era, ?shortage, "an account is not written in the new era yet");
+                return;
+            }
+        }
+        self.entered_era.store(era, Ordering::Relaxed);
+        tracing::info!(era, "all accounts stand in the new era of the store");
+    }
+
+    /// Era in whose rows the accounts of this run stand. A successor that finds an earlier one than
+    /// that of the store knows that the run may have drawn tokens in the lost time.
+    pub fn entered_era(&self) -> StoreEra {
+        self.entered_era.load(Ordering::Relaxed)
+    }
+
+    /// Remembers a draw of another router. Returns `false` if this router has already told others
+    /// what it knew, in a later era.
+    pub fn record_peer_draw(&self, customer: &CustomerId, record: &DrawRecord) -> bool {
+        let budget = self.budget(customer);
+        let mut state = budget.state();
+        if record.era < self.current_era() {
+            return false;
+        }
+        merge_totals(&mut state.known_draws, [(&record.vm, record.totals)]);
+        true
+    }
+
+    /// Reports the draws that this router knows to one that starts `era`. No draw of an earlier era
+    /// is spent after this.
+    pub fn report_draws(&self, customer: &CustomerId, era: StoreEra) -> DrawReport {
+        self.learn_era(era);
+        let budget = self.budget(customer);
+        let state = budget.state();
+        DrawReport {
+            is_complete: state.knows_earlier_draws || self.ran_since_copy(),
+            follows_restore: self.follows_restore(),
+            totals: state.known_draws.clone().into_iter().collect(),
+        }
+    }
+
+    /// Whether this run is older than any copy that the store may have been restored from.
+    fn ran_since_copy(&self) -> bool {
+        self.latest_era().1 >= self.started + COPY_AGE_MAX
+    }
+
+    /// Whether the previous run on this VM may have drawn tokens in the lost time. Routers write the
+    /// pools of all customers within [`COPY_AGE_MAX`] after the start; customers without one are new
+    /// after that.
+    fn follows_restore(&self) -> bool {
+        let is_first_run = matches!(
+            *self.predecessor(),
+            None | Some(PredecessorEnd::BeforeRestore)
+        );
+        is_first_run && self.started.elapsed() < COPY_AGE_MAX
+    }
+
+    /// Latest era of the store that this router knows of.
+    pub fn current_era(&self) -> StoreEra {
+        self.learn_era(self.rows.era())
+    }
+
+    fn learn_era(&self, era: StoreEra) -> StoreEra {
+        let mut latest = self.latest_era();
+        if era > latest.0 {
+            *latest = (era, Instant::now());
+        }
+        latest.0
+    }
+
+    fn latest_era(&self) -> MutexGuard<'_, (StoreEra, Instant)> {
+        self.latest_era
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether the previous run left accounts that can be taken over.
     fn may_inherit(&self) -> bool {
         matches!(*self.predecessor(), Some(PredecessorEnd::Attached { .. }))
@@ -716,12 +872,14 @@
         match *self.predecessor() {
             None => return Err(BudgetShortage::StoreAway),
             Some(PredecessorEnd::Attached { boot, late }) => account.set_predecessor(boot, late),
-            Some(PredecessorEnd::Unknown) => {}
+            Some(PredecessorEnd::Unknown | PredecessorEnd::BeforeRestore) => {}
         }
         for _ in 0..CONFLICT_ATTEMPTS {
+            self.adopt_era(budget, account);
             if !account.is_known() {
                 self.read_accounts(budget, account).await?;
             }
+            self.confirm_draws(budget, account).await;
             let prepaid = budget.state().prepaid;
             // The change that takes over an account draws nothing, so that it does not conflict
             // with other routers over the pool row.
@@ -758,22 +916,29 @@
             budget.state().push_limit(limit);
             // If the call is cancelled, its outcome is unknown.
             account.mark_unknown();
-            match self.rows.transact(change.transaction.clone()).await {
+            let reply = self.rows.transact(change.transaction.clone()).await;
+            if self.current_era() != account.era() {
+                // The change affects only rows of an earlier era.
+                continue;
+            }
+            match reply {
                 Ok(RowReply::Committed { version, .. }) => {
                     let granted = account.apply_commit(&change, version);
                     account.mark_known();
                     if inherited + stranded > 0 {
                         tracing::info!(customer = %budget.customer, inherited, stranded, "took over the account of an earlier run");
                     }
-                    self.ledger().credit(&budget.customer, granted);
+                    let draw = draw.min(granted);
+                    self.ledger().credit(&budget.customer, granted - draw);
+                    account.add_unconfirmed(draw, Instant::now());
                     budget.state().commit_limit(limit, allowance);
                     tracing::info!(customer = %budget.customer, granted, version, room = allowance, free = account.free(prepaid), prepaid, charged, "account changed");
+                    self.confirm_draws(budget, account).await;
                     return Ok(());
                 }
                 Ok(RowReply::Conflict(rows)) => {
                     budget.state().pop_limit();
-                    let granted = account.load_conflict(&rows);
-                    self.ledger().credit(&budget.customer, granted);
+                    account.load_conflict(&rows, Instant::now());
                     let pause = rand::rng().random_range(0..CONFLICT_PAUSE_MS);
                     tokio::time::sleep(Duration::from_millis(pause)).await;
                 }
@@ -792,21 +957,137 @@
         Err(BudgetShortage::HeldElsewhere)
     }
 
+    /// Reads the accounts of a customer. The first router that does so in a new era starts it.
     async fn read_accounts(
         &self,
         budget: &CustomerBudget,
         account: &mut CustomerAccount,
     ) -> Result<(), BudgetShortage> {
-        let page = self.rows.read(SPEND_TABLE, &budget.customer).await;
-        let page = page.map_err(|error| {
-            tracing::warn!(customer = %budget.customer, %error, "failed to read the accounts");
-            self.pause_store();
-            BudgetShortage::StoreAway
-        })?;
-        let granted = account.load_all(&page.rows);
-        budget.state().limit = SpendLimit::of(account.stored());
-        self.ledger().credit(&budget.customer, granted);
-        Ok(())
+        for _ in 0..CONFLICT_ATTEMPTS {
+            let page = self.rows.read(SPEND_TABLE, &budget.customer).await;
+            let page = page.map_err(|error| {
+                tracing::warn!(customer = %budget.customer, %error, "failed to read the accounts");
+                self.pause_store();
+                BudgetShortage::StoreAway
+            })?;
+            self.adopt_era(budget, account);
+            if era_of(page.version) != account.era() {
+                continue;
+            }
+            match account.load_all(&page.rows, Instant::now()) {
+                LoadedRows::Known => {
+                    let mut state = budget.state();
+                    // Nobody can take over an account that is not written in the era yet.
+                    state.limit = if account.era() > FIRST_ERA && account.is_carried() {
+                        SpendLimit::UNLIMITED
+                    } else {
+                        SpendLimit::of(account.stored())
+                    };
+                    let known = account.all_totals();
+                    merge_totals(
+                        &mut state.known_draws,
+                        known.iter().map(|(vm, totals)| (vm, *totals)),
+                    );
+                    state.knows_earlier_draws = true;
+                    return Ok(());
+                }
+                LoadedRows::Unjoined(copy) => self.start_era(budget, account, &copy).await?,
+            }
+        }
+        Err(BudgetShortage::HeldElsewhere)
+    }
+
+    /// Writes the pool of a customer at the start of an era, from what all routers remember.
+    async fn start_era(
+        &self,
+        budget: &CustomerBudget,
+        account: &CustomerAccount,
+        copy: &PoolCopy,
+    ) -> Result<(), BudgetShortage> {
+        let (customer, era) = (&budget.customer, account.era());
+        if self.predecessor().is_none() {
+            return Err(BudgetShortage::StoreAway);
+        }
+        let survey = self.peers.survey_draws(customer, era).await;
+        let own = self.report_draws(customer, era);
+        let (join, known) = join_pool(copy, &own, &survey);
+        let complete = survey.reports.iter().filter(|report| report.is_complete);
+        let complete = complete.count();
+        let waits_until = self.latest_era().1 + JOIN_PATIENCE;
+        let prepaid = budget.state().prepaid;
+        let drawn = match join {
+            PoolJoin::Complete(drawn) => drawn,
+            PoolJoin::Incomplete if Instant::now() < waits_until => {
+                tracing::info!(
+                    %customer, era, complete, keepers = survey.keepers,
+                    "too few routers remember the draws from a pool; waiting for others"
+                );
+                return Err(BudgetShortage::StoreAway);
+            }
+            PoolJoin::Incomplete => {
+                tracing::error!(
+                    %customer, era, complete, keepers = survey.keepers, prepaid,
+                    "draws of the lost time may be unknown; the rest of the pool counts as drawn"
+                );
+                prepaid.max(drawn_since(copy, &known))
+            }
+        };
+        let transaction = account.start_era(drawn, &known);
+        match self.rows.transact(transaction).await {
+            Ok(RowReply::Committed { .. }) => {
+                tracing::info!(%customer, era, copied = copy.drawn, drawn, complete, keepers = survey.keepers, prepaid, "wrote the pool of a new era");
+                Ok(())
+            }
+            Ok(RowReply::Conflict(_)) => Ok(()),
+            Err(error) => {
+                tracing::warn!(%customer, %error, "failed to write the pool of a new era");
+                self.pause_store();
+                Err(BudgetShortage::StoreAway)
+            }
+        }
+    }
+
+    /// Lets the account follow the latest era of the store.
+    fn adopt_era(&self, budget: &CustomerBudget, account: &mut CustomerAccount) {
+        let era = self.current_era();
+        if era > account.era() {
+            account.begin_era(era);
+            budget.state().begin_era();
+            tracing::info!(customer = %budget.customer, era, "an account enters a new era of the store");
+        }
+    }
+
+    /// Makes draws spendable as soon as enough other routers know of them.
+    async fn confirm_draws(&self, budget: &CustomerBudget, account: &mut CustomerAccount) {
+        if account.unconfirmed() == 0 {
+            return;
+        }
+        let record = DrawRecord {
+            era: account.era(),
+            vm: self.holder.vm.clone(),
+            totals: account.own_totals(),
+        };
+        let known = self
+            .peers
+            .record_draw(&budget.customer, record.clone())
+            .await;
+        if !known && !account.is_copied(Instant::now()) {
+            tracing::info!(
+                customer = %budget.customer, tokens = account.unconfirmed(),
+                "too few routers know of a draw; it is not spent yet"
+            );
+            return;
+        }
+        {
+            let mut state = budget.state();
+            if self.current_era() != account.era() {
+                return;
+            }
+            // Reports of this router include the draw from now on.
+            merge_totals(&mut state.known_draws, [(&record.vm, record.totals)]);
+        }
+        let tokens = account.take_unconfirmed();
+        self.ledger().credit(&budget.customer, tokens);
     }
 
     /// If a recent read found that the grant and the pool together do not cover `amount`, returns
@@ -875,7 +1156,7 @@
         request: Tokens,
     ) -> Tokens {
         let target_grant = self.target_grant(budget, account);
-        let spendable = self.spendable(&budget.customer);
+        let spendable = self.spendable(&budget.customer) + account.unconfirmed();
         let free = account.free(budget.state().prepaid) + account.pending_return();
         let missing = request.saturating_sub(spendable);
         let ahead = if missing > 0 || spendable < target_grant / 2 {
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -9,6 +9,7 @@
 use {
     futures_util::StreamExt,
     jasminewall_core::{BootId, CustomerId, DomainId, Tokens, VmId},
+    jasminewall_ports::{FIRST_ERA, StoreEra},
     serde::{Deserialize, Serialize},
     tarpc::{
         context,
@@ -19,6 +20,7 @@
 
 use crate::{
     balancer::RouterLoad,
+    draws::{DrawRecord, DrawReport},
     fleet::FleetView,
     forwarder::Forwarder,
     manager::BudgetManager,
@@ -51,6 +53,13 @@
     pub boot: BootId,
     /// See [`StoreSession`](crate::session::StoreSession).
     pub heartbeat: Heartbeat,
+    /// Era of the store in which the run's accounts stand.
+    #[serde(default = "first_era")]
+    pub era: StoreEra,
+}
+
+fn first_era() -> StoreEra {
+    FIRST_ERA
 }
 
 /// State that is newer than that of the calling router.
@@ -75,6 +84,10 @@
     async fn give(customer: CustomerId, wanted: Tokens) -> Tokens;
     /// Hands over tokens of a customer.
     async fn deposit(customer: CustomerId, tokens: Tokens);
+    /// Tells of a draw; returns whether it is remembered.
+    async fn record_draw(customer: CustomerId, record: DrawRecord) -> bool;
+    /// Asks for the known draws of a customer, to start an era of the store.
+    async fn report_draws(customer: CustomerId, era: StoreEra) -> DrawReport;
 }
 
 #[derive(Clone)]
@@ -114,6 +127,24 @@
         tracing::info!(%customer, tokens, "a peer handed over tokens");
     }
 
+    async fn record_draw(
+        self,
+        _: context::Context,
+        customer: CustomerId,
+        record: DrawRecord,
+    ) -> bool {
+        self.budgets.record_peer_draw(&customer, &record)
+    }
+
+    async fn report_draws(
+        self,
+        _: context::Context,
+        customer: CustomerId,
+        era: StoreEra,
+    ) -> DrawReport {
+        self.budgets.report_draws(&customer, era)
+    }
+
     async fn give(self, _: context::Context, customer: CustomerId, wanted: Tokens) -> Tokens {
         let given = self.budgets.give(&customer, wanted).await;
         tracing::info!(%customer, wanted, given, "gave tokens to a peer");
--- a/crates/forward/tests/support/peers.rs
+++ b/crates/forward/tests/support/peers.rs
@@ -7,7 +7,17 @@
 
 use {
     jasminewall_core::{CustomerId, Tokens},
-    jasminewall_forward::{BudgetManager, DepositOutcome, TokenPeers},
+    jasminewall_forward::{
+        BudgetManager, DepositOutcome, TokenPeers,
+        draws::{DrawRecord, DrawSurvey},
+    },
+    jasminewall_ports::StoreEra,
+};
+
+/// Answers of a router that has no peers.
+const ALONE: DrawSurvey = DrawSurvey {
+    keepers: 1,
+    reports: Vec::new(),
 };
 
 /// Peers that never give tokens.
@@ -27,6 +37,26 @@
         Box::pin(async { 0 })
     }
 
+    fn keeps_draws(&self) -> bool {
+        true
+    }
+
+    fn record_draw<'a>(
+        &'a self,
+        _: &'a CustomerId,
+        _: DrawRecord,
+    ) -> Pin<Box<dyn Future<Output = bool> + Send + 'a>> {
+        Box::pin(async { true })
+    }
+
+    fn survey_draws<'a>(
+        &'a self,
+        _: &'a CustomerId,
+        _: StoreEra,
+    ) -> Pin<Box<dyn Future<Output = DrawSurvey> + Send + 'a>> {
+        Box::pin(async { ALONE })
+    }
+
     fn deposit<'a>(
         &'a self,
         _: &'a CustomerId,
@@ -57,6 +87,26 @@
         Box::pin(self.0.give(customer, wanted))
     }
 
+    fn keeps_draws(&self) -> bool {
+        true
+    }
+
+    fn record_draw<'a>(
+        &'a self,
+        _: &'a CustomerId,
+        _: DrawRecord,
+    ) -> Pin<Box<dyn Future<Output = bool> + Send + 'a>> {
+        Box::pin(async { true })
+    }
+
+    fn survey_draws<'a>(
+        &'a self,
+        _: &'a CustomerId,
+        _: StoreEra,
+    ) -> Pin<Box<dyn Future<Output = DrawSurvey> + Send + 'a>> {
+        Box::pin(async { ALONE })
+    }
+
     fn deposit<'a>(
         &'a self,
         customer: &'a CustomerId,
@@ -94,6 +144,26 @@
         Box::pin(async { 0 })
     }
 
+    fn keeps_draws(&self) -> bool {
+        true
+    }
+
+    fn record_draw<'a>(
+        &'a self,
+        _: &'a CustomerId,
+        _: DrawRecord,
+    ) -> Pin<Box<dyn Future<Output = bool> + Send + 'a>> {
+        Box::pin(async { true })
+    }
+
+    fn survey_draws<'a>(
+        &'a self,
+        _: &'a CustomerId,
+        _: StoreEra,
+    ) -> Pin<Box<dyn Future<Output = DrawSurvey> + Send + 'a>> {
+        Box::pin(async { ALONE })
+    }
+
     fn deposit<'a>(
         &'a self,
         _: &'a CustomerId,
