Keep what is known of endpoints when the store was restored

After a restore, a router took the registrations of the copy for the latest ones: endpoints that drained or had left in the lost time got requests again (DRAIN), and those that had registered in it were dropped at once if the router had not seen the store away.

Registrations now carry their sequence number. For ten seconds after the start of an era, one that is older than a known one of the same run, or not newer than the last one of an endpoint that left, is ignored; missing ones get the time to register again that they get after an outage.

--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -4,7 +4,10 @@
     time::{Duration, Instant},
 };
 
-use jasminewall_core::EndpointId;
+use {
+    jasminewall_core::EndpointId,
+    jasminewall_ports::{StoreEra, era_of},
+};
 
 use crate::{
     port::{EndpointChange, EndpointUpdate},
@@ -15,6 +18,13 @@
 /// state about two seconds.
 const REREGISTER_GRACE: Duration = Duration::from_millis(2_300);
 
+/// Time after a restore of the store within which live endpoints have registered again, and the
+/// registrations of others have lapsed.
+const OUTDATED_WINDOW: Duration = Duration::from_secs(10);
+/// Time for which endpoints that left are remembered. A copy of the store from before may bring their
+/// registrations back.
+const GONE_TTL: Duration = Duration::from_secs(60);
+
 /// Configuration and endpoints known to this router.
 ///
 /// Lock order: `config`, then `endpoints`.
@@ -33,6 +43,19 @@
     /// changes. Listing hundreds of endpoints for each request would take a small VM's processor.
     ready: HashMap<ServiceId, ReadyList>,
     store: StoreContact,
+    /// Endpoints that left within [`GONE_TTL`].
+    gone: HashMap<EndpointId, GoneEndpoint>,
+    /// Until when the store may return registrations of a copy that it was restored from.
+    outdated_until: Option<Instant>,
+}
+
+/// Last registration of an endpoint that left.
+struct GoneEndpoint {
+    started_ms: u64,
+    sequence: u64,
+    /// Era of the store at that time.
+    era: StoreEra,
+    forget_at: Instant,
 }
 
 struct ReadyList {
@@ -126,6 +149,12 @@
     /// Replaces all registrations by those in the store.
     pub fn replace_endpoints(&self, update: EndpointUpdate, now: Instant) {
         let mut set = self.lock_endpoints();
+        if era_of(update.version) > era_of(set.version) && set.is_loaded {
+            // Endpoints whose registrations are from the lost time register again.
+            set.store = StoreContact::Restored(now);
+            set.outdated_until = Some(now + OUTDATED_WINDOW);
+        }
+        set.version = set.version.max(update.version);
         let missing: Vec<EndpointId> = {
             let listed: Vec<&EndpointId> = update.changes.iter().map(|change| &change.id).collect();
             let members = set.members.keys();
@@ -138,7 +167,6 @@
         for change in changes {
             set.apply(change, now);
         }
-        set.version = update.version;
         set.is_loaded = true;
     }
 
@@ -146,10 +174,11 @@
     /// enough.
     pub fn update_endpoints(&self, update: EndpointUpdate, now: Instant) {
         let mut set = self.lock_endpoints();
+        set.version = set.version.max(update.version);
         for change in update.changes {
             set.apply(change, now);
         }
-        set.version = set.version.max(update.version);
+        set.gone.retain(|_, gone| now < gone.forget_at);
         set.members.retain(|id, member| {
             let is_live = member.is_live(now);
             if !is_live {
@@ -224,8 +253,22 @@
     fn apply(&mut self, change: EndpointChange, now: Instant) {
         let EndpointChange { id, record } = change;
         if let Some(record) = record {
+            if self.is_outdated(&record, now) {
+                tracing::info!(
+                    endpoint = %id, state = ?record.state, sequence = record.sequence,
+                    "ignored an outdated registration"
+                );
+                return;
+            }
             let before = self.members.get(&id).map(|member| &member.record);
-            if before != Some(&record) {
+            let is_same = before.is_some_and(|before| {
+                let sequence = record.sequence;
+                EndpointRecord {
+                    sequence,
+                    ..before.clone()
+                } == record
+            });
+            if !is_same {
                 tracing::info!(
                     endpoint = %id, service = %record.service, address = %record.address,
                     state = ?record.state, born = record.started_ms, "endpoint registered"
@@ -253,12 +296,37 @@
             }
             _ => {
                 tracing::info!(endpoint = %id, "endpoint removed");
+                let gone = GoneEndpoint {
+                    started_ms: member.record.started_ms,
+                    sequence: member.record.sequence,
+                    era: era_of(self.version),
+                    forget_at: now + GONE_TTL,
+                };
                 self.members.remove(&id);
+                self.gone.insert(id, gone);
                 self.ready.clear();
             }
         }
     }
 
+    /// Whether a later registration of the endpoint is known, or the endpoint has left since. A
+    /// restored store returns such registrations.
+    fn is_outdated(&self, record: &EndpointRecord, now: Instant) -> bool {
+        if self.outdated_until.is_none_or(|until| until <= now) {
+            return false;
+        }
+        let member = self.members.get(&record.id);
+        let member = member.map(|member| &member.record);
+        if member.is_some_and(|known| record.is_older_than(known.started_ms, known.sequence)) {
+            return true;
+        }
+        let gone = self.gone.get(&record.id);
+        gone.is_some_and(|gone| {
+            let is_later = (gone.started_ms, gone.sequence) < (record.started_ms, record.sequence);
+            gone.era < era_of(self.version) && !is_later
+        })
+    }
+
     /// Returns when to drop a registration that is missing from the store; `None` to drop it
     /// immediately.
     fn grace_end(&self, now: Instant) -> Option<Instant> {
--- a/crates/forward/src/record.rs
+++ b/crates/forward/src/record.rs
@@ -237,4 +237,13 @@
     pub slots: u32,
     /// Whether it accepts new requests.
     pub state: EndpointState,
+    /// Number of the registration, which grows during a run; 0 if unknown.
+    pub sequence: u64,
+}
+
+impl EndpointRecord {
+    /// Whether this registration is older than one of the same endpoint.
+    pub fn is_older_than(&self, started_ms: u64, sequence: u64) -> bool {
+        (self.started_ms, self.sequence) < (started_ms, sequence)
+    }
 }
--- a/crates/forward/tests/allowance.rs
+++ b/crates/forward/tests/allowance.rs
@@ -24,6 +24,7 @@
         domain: "a".into(),
         slots: 8,
         state: EndpointState::Ready,
+        sequence: 0,
     });
     records.collect()
 }
--- a/crates/forward/tests/choice.rs
+++ b/crates/forward/tests/choice.rs
@@ -25,6 +25,7 @@
         domain: if number % 2 == 0 { "a" } else { "b" }.into(),
         slots: 8,
         state: EndpointState::Ready,
+        sequence: 0,
     });
     engines.collect()
 }
--- a/crates/forward/tests/log.rs
+++ b/crates/forward/tests/log.rs
@@ -138,6 +138,7 @@
             domain: "a".into(),
             slots: 4,
             state: EndpointState::Ready,
+            sequence: 0,
         }),
     }];
     view.replace_endpoints(
