Ask other routers for the configuration after a restore

A router that started after a restore, before the operator had written again, served the configuration of the copy although its neighbours had a later one in force: routers asked each other only while the store was away.

a_router_that_starts_in_a_restored_store_asks_for_the_latest_configuration fails before with version 5 instead of 7.

--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -141,6 +141,12 @@
         }
     }
 
+    /// Whether the store may return state of a copy that it was restored from.
+    pub fn is_store_outdated(&self, now: Instant) -> bool {
+        let until = self.lock_endpoints().outdated_until;
+        until.is_some_and(|until| now < until)
+    }
+
     /// Whether the last read or watch of the store failed.
     pub fn is_store_unreachable(&self) -> bool {
         matches!(self.lock_endpoints().store, StoreContact::Lost(_))
@@ -149,10 +155,12 @@
     /// Replaces all registrations by those in the store.
     pub fn replace_endpoints(&self, update: EndpointUpdate, now: Instant) {
         let mut set = self.lock_endpoints();
-        if era_of(update.version) > era_of(set.version) && set.is_loaded {
-            // Endpoints whose registrations are from the lost time register again.
-            set.store = StoreContact::Restored(now);
+        if era_of(update.version) > era_of(set.version) {
             set.outdated_until = Some(now + OUTDATED_WINDOW);
+            if set.is_loaded {
+                // Endpoints whose registrations are from the lost time register again.
+                set.store = StoreContact::Restored(now);
+            }
         }
         set.version = set.version.max(update.version);
         let missing: Vec<EndpointId> = {
--- a/crates/forward/src/group.rs
+++ b/crates/forward/src/group.rs
@@ -489,14 +489,18 @@
         }
     }
 
-    /// Asks some routers for newer state.
-    pub(crate) async fn fetch_updates(&self, view: &FleetView) {
+    /// Asks some routers for a newer configuration and, with `endpoints`, newer registrations.
+    pub(crate) async fn fetch_updates(&self, view: &FleetView, endpoints: bool) {
         for target in self.sample(UPDATE_PEERS) {
             let Some(client) = self.connect(&target).await else {
                 continue;
             };
-            let versions = (view.config_version(), view.endpoint_version());
-            let call = client.updates(peer_context(), versions.0, versions.1);
+            let known = if endpoints {
+                view.endpoint_version()
+            } else {
+                u64::MAX
+            };
+            let call = client.updates(peer_context(), view.config_version(), known);
             match timeout(PEER_TIMEOUT, call).await {
                 Ok(Ok(updates)) => {
                     if let Some(config) = updates.config {
@@ -892,13 +896,15 @@
     }
 }
 
-/// Asks peers for newer state while the store is unreachable.
+/// Asks peers for newer state while the store is unreachable, and for a newer configuration after it
+/// was restored.
 pub(crate) async fn poll_peer_updates(group: Weak<PeerGroup>, view: Arc<FleetView>) {
     loop {
         tokio::time::sleep(UPDATE_INTERVAL).await;
         let Some(group) = group.upgrade() else { return };
-        if view.is_store_unreachable() || !view.is_ready() {
-            group.fetch_updates(&view).await;
+        let is_alone = view.is_store_unreachable() || !view.is_ready();
+        if is_alone || view.is_store_outdated(Instant::now()) {
+            group.fetch_updates(&view, is_alone).await;
         }
     }
 }
--- a/crates/forward/tests/restored_records.rs
+++ b/crates/forward/tests/restored_records.rs
@@ -1,14 +1,23 @@
-//! Registrations of endpoints when the store is restored from a copy.
+//! Registrations of endpoints and configurations when the store is restored from a copy.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashSet,
+    net::{SocketAddr, TcpListener},
+    pin::Pin,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use {
     jasminewall_forward::{
-        FleetView,
-        port::{EndpointChange, EndpointUpdate},
-        record::{EndpointRecord, EndpointState},
+        FleetView, ForwardNode, ForwardPorts, ForwardSetting,
+        port::{
+            CallError, CallFuture, ConfigUpdate, EndpointCall, EndpointChange, EndpointPort,
+            EndpointUpdate, PortState, RecordPort,
+        },
+        record::{CallerLimits, EndpointRecord, EndpointState, FleetConfig},
     },
-    jasminewall_ports::era_version,
+    jasminewall_ports::{MemoryRows, PortFuture, era_version},
 };
 
 fn record(id: &str, state: EndpointState, sequence: u64) -> EndpointRecord {
@@ -80,3 +89,106 @@
     let later = now + Duration::from_secs(5);
     assert_eq!(ready(&view, later), Vec::<String>::new());
 }
+
+/// Platform without endpoints whose store returns one configuration.
+struct ConfigPlatform {
+    config_version: u64,
+    /// Version of the store.
+    version: u64,
+}
+
+impl RecordPort for ConfigPlatform {
+    fn read_config(&self) -> PortFuture<'_, ConfigUpdate> {
+        let limits = CallerLimits::default();
+        let services = Default::default();
+        let config = FleetConfig::new(
+            self.config_version,
+            Vec::new(),
+            services,
+            Vec::new(),
+            limits,
+        );
+        Box::pin(async move {
+            Ok(ConfigUpdate {
+                config: Some(config),
+                version: self.version,
+            })
+        })
+    }
+
+    fn watch_config(&self, version: u64, deadline: Instant) -> PortFuture<'_, ConfigUpdate> {
+        Box::pin(async move {
+            tokio::time::sleep_until(deadline.into()).await;
+            Ok(ConfigUpdate {
+                config: None,
+                version,
+            })
+        })
+    }
+
+    fn read_endpoints(&self) -> PortFuture<'_, EndpointUpdate> {
+        Box::pin(async { Ok(update(self.version, Vec::new())) })
+    }
+
+    fn watch_endpoints(&self, version: u64, deadline: Instant) -> PortFuture<'_, EndpointUpdate> {
+        Box::pin(async move {
+            tokio::time::sleep_until(deadline.into()).await;
+            Ok(update(version, Vec::new()))
+        })
+    }
+}
+
+impl EndpointPort for ConfigPlatform {
+    fn call<'a>(&'a self, _: EndpointCall<'a>) -> CallFuture<'a> {
+        Box::pin(async { Err(CallError::NotSent("there are no endpoints".into())) })
+    }
+
+    fn connected(&self, _: bool) -> HashSet<SocketAddr> {
+        HashSet::new()
+    }
+
+    fn probe(&self, _: SocketAddr) -> Pin<Box<dyn Future<Output = PortState> + Send + '_>> {
+        Box::pin(async { PortState::Unreachable })
+    }
+}
+
+async fn start_node(rows: &MemoryRows, vm: &str, platform: ConfigPlatform) -> Arc<ForwardNode> {
+    let free_port = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = free_port.local_addr().expect("the port is bound");
+    drop(free_port);
+    let text = format!(
+        "[router]\nvm = {vm}\nfailure_domain = a\nlisten = 127.0.0.1:1\n\
+         readiness = 127.0.0.1:2\npeer_listen = {address}\n[store]\naddress = 127.0.0.1:3\n"
+    );
+    let setting: ForwardSetting = text.parse().expect("the settings are valid");
+    let platform = Arc::new(platform);
+    let ports = ForwardPorts {
+        rows: Arc::new(rows.clone()),
+        records: platform.clone(),
+        endpoints: platform,
+    };
+    let node = ForwardNode::start(&setting, ports).await;
+    node.expect("the port is still free")
+}
+
+/// Guards against a router that starts after a restore and serves the configuration of the copy.
+#[tokio::test]
+async fn a_router_that_starts_in_a_restored_store_asks_for_the_latest_configuration() {
+    let rows = MemoryRows::new();
+    let latest = ConfigPlatform {
+        config_version: 7,
+        version: 20,
+    };
+    let restored = ConfigPlatform {
+        config_version: 5,
+        version: era_version(2, 10),
+    };
+    let _running = start_node(&rows, "vm-1", latest).await;
+    let started = start_node(&rows, "vm-2", restored).await;
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    let config = started
+        .forwarder
+        .config()
+        .expect("a configuration is known");
+    assert_eq!(config.version, 7);
+}
