Log the software versions of endpoints and what callers resume

The logs named neither the version of the endpoint that a request went to, nor the attempt that a returning caller resumes, so they could not tell the hypotheses apart. Both are decoded and logged now; no decision reads them.

--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -279,7 +279,7 @@
             if !is_same {
                 tracing::info!(
                     endpoint = %id, service = %record.service, address = %record.address,
-                    state = ?record.state, born = record.started_ms, "endpoint registered"
+                    state = ?record.state, born = record.started_ms, software = %record.software, "endpoint registered"
                 );
                 self.ready.clear();
             }
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -232,7 +232,8 @@
         let engine = config.services.get(service).and_then(|rule| rule.engine);
         tracing::info!(
             request = %request.id, route = %route.name, service = %service, version = config.version,
-            customer = customer.as_ref().map(|customer| customer.name.as_str()), "admitted"
+            customer = customer.as_ref().map(|customer| customer.name.as_str()),
+            resumes = request.resumes.as_deref(), resume_from = request.resume_from.as_deref(), "admitted"
         );
         let hold = match (&customer, &request.prompt) {
             (Some(customer), Some(prompt)) => match customer.prepaid {
@@ -528,7 +529,7 @@
         }
         admitted.sends += 1;
         tracing::info!(
-            request = %admitted.request.id, endpoint = %placement.record.id, cost_ms = placement.cost_ms as u64,
+            request = %admitted.request.id, endpoint = %placement.record.id, software = %placement.record.software, cost_ms = placement.cost_ms as u64,
             runner_up = ?placement.runner_up.as_ref().map(|(id, _)| id.as_str()),
             runner_up_ms = placement.runner_up.as_ref().map_or(0, |(_, cost)| *cost as u64),
             uncached = placement.uncached, send = admitted.sends,
--- a/crates/forward/src/record.rs
+++ b/crates/forward/src/record.rs
@@ -11,6 +11,8 @@
 
 /// Name of a group of interchangeable endpoints.
 pub type ServiceId = SmolStr;
+/// Version of an endpoint's software; empty if unknown.
+pub type SoftwareVersion = SmolStr;
 
 /// Which requests of a route may be sent again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -239,6 +241,8 @@
     pub state: EndpointState,
     /// Number of the registration, which grows during a run; 0 if unknown.
     pub sequence: u64,
+    /// Version of its software. Events of two versions do not fit into one stream.
+    pub software: SoftwareVersion,
 }
 
 impl EndpointRecord {
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -56,6 +56,8 @@
     pub prompt: Option<PromptSpec>,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub resume_from: Option<SmolStr>,
+    /// Id of the caller's attempt that brought the first event of a resumed stream.
+    pub resumes: Option<SmolStr>,
 }
 
 impl ForwardRequest {
--- a/crates/forward/tests/allowance.rs
+++ b/crates/forward/tests/allowance.rs
@@ -25,6 +25,7 @@
         slots: 8,
         state: EndpointState::Ready,
         sequence: 0,
+        software: "".into(),
     });
     records.collect()
 }
--- a/crates/forward/tests/choice.rs
+++ b/crates/forward/tests/choice.rs
@@ -26,6 +26,7 @@
         slots: 8,
         state: EndpointState::Ready,
         sequence: 0,
+        software: "".into(),
     });
     engines.collect()
 }
--- a/crates/forward/tests/log.rs
+++ b/crates/forward/tests/log.rs
@@ -139,6 +139,7 @@
             slots: 4,
             state: EndpointState::Ready,
             sequence: 0,
+            software: "".into(),
         }),
     }];
     view.replace_endpoints(
@@ -176,6 +177,7 @@
             parts: Vec::new(),
         }),
         resume_from: None,
+        resumes: None,
     }
 }
 
--- a/crates/forward/tests/restored_records.rs
+++ b/crates/forward/tests/restored_records.rs
@@ -30,6 +30,7 @@
         slots: 4,
         state,
         sequence,
+        software: "".into(),
     }
 }
 
