Continue a stream within a response only at its software version

Callers got streams whose first part came from one software version and the rest from another: a router continued an interrupted stream at any ready endpoint. The version that brought the first event is now part of the request's state, and only endpoints of that version may continue it; a slow stream is moved only if there is one. Otherwise the response is broken off at once.

Streams that callers take up after their connection broke are not covered yet.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -10,7 +10,7 @@
     forwarder::{Forwarder, RESPONSE_GRACE},
     manager::BudgetHold,
     port::EndpointResponse,
-    record::{RouteRule, ServiceId},
+    record::{EndpointRecord, RouteRule, ServiceId, SoftwareVersion},
     request::{ForwardRequest, RefusalKind},
 };
 
@@ -39,9 +39,17 @@
     pub(crate) runs: u32,
     /// Endpoints that are not tried again.
     pub(crate) excluded: Vec<EndpointId>,
+    /// Software version that began the stream; only its endpoints may continue it.
+    pub(crate) begun_at: Option<SoftwareVersion>,
 }
 
 impl AdmittedRequest {
+    /// Whether an endpoint's software fits the part of the stream that the caller has.
+    pub(crate) fn fits(&self, record: &EndpointRecord) -> bool {
+        let begun_at = self.begun_at.as_ref();
+        begun_at.is_none_or(|software| *software == record.software)
+    }
+
     pub(crate) fn may_run_again(&self) -> bool {
         self.runs == 0
             || (self.route.retry_policy.may_retry() && self.runs < self.route.max_attempts)
@@ -60,6 +68,8 @@
     pub(crate) forwarder: Arc<Forwarder>,
     pub(crate) in_flight: InFlight,
     pub(crate) address: SocketAddr,
+    /// Software of the endpoint when the request was sent.
+    pub(crate) software: SoftwareVersion,
     pub(crate) failed: bool,
 }
 
@@ -142,7 +152,10 @@
 /// that has not.
 pub(crate) fn refusal_of(admitted: &AdmittedRequest, kind: RefusalKind) -> RefusalKind {
     match kind {
-        RefusalKind::NoEndpoint | RefusalKind::DeadlinePassed | RefusalKind::RateLimited(_)
+        RefusalKind::NoEndpoint
+        | RefusalKind::SoftwareGone
+        | RefusalKind::DeadlinePassed
+        | RefusalKind::RateLimited(_)
             if admitted.runs > 0 =>
         {
             RefusalKind::Lost
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -268,6 +268,7 @@
             failed_connects: 0,
             runs: 0,
             excluded: Vec::new(),
+            begun_at: None,
             request,
             route,
         })
@@ -497,7 +498,15 @@
         if now >= admitted.deadline {
             return Err(refusal_of(admitted, RefusalKind::DeadlinePassed));
         }
-        let records = self.view.ready_endpoints(&admitted.service, now);
+        let mut records = self.view.ready_endpoints(&admitted.service, now);
+        if let Some(software) = &admitted.begun_at {
+            let fitting = records.iter().filter(|record| admitted.fits(record));
+            records = Arc::new(fitting.cloned().collect());
+            if records.is_empty() {
+                tracing::info!(request = %admitted.request.id, %software, "no endpoint of the software version that began the stream");
+                return Err(refusal_of(admitted, RefusalKind::SoftwareGone));
+            }
+        }
         let prompt = admitted.request.prompt.as_ref();
         let prefers_connected = self.routers.load(Ordering::Relaxed) >= PREFER_CONNECTED_MIN;
         let connected = prefers_connected.then(|| {
@@ -538,6 +547,7 @@
         let guard = InFlightGuard {
             forwarder: self.clone(),
             in_flight,
+            software: placement.record.software.clone(),
             address: placement.record.address,
             failed: false,
         };
@@ -601,7 +611,7 @@
     pub(crate) fn has_untried_endpoint(&self, admitted: &AdmittedRequest) -> bool {
         let records = self.view.ready_endpoints(&admitted.service, Instant::now());
         let mut records = records.iter();
-        records.any(|record| !admitted.excluded.contains(&record.id))
+        records.any(|record| admitted.fits(record) && !admitted.excluded.contains(&record.id))
     }
 
     /// Drops the load statistics of endpoints that are no longer registered.
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -86,6 +86,8 @@
     BudgetUnavailable,
     /// No endpoint could accept the request.
     NoEndpoint,
+    /// No endpoint has the software version that began the stream; the caller must start again.
+    SoftwareGone,
     /// No endpoint accepts a request before this time.
     RateLimited(Instant),
     /// The deadline passed before the request was sent to an endpoint.
@@ -107,6 +109,7 @@
             Self::NotConfigured
             | Self::BudgetUnavailable
             | Self::NoEndpoint
+            | Self::SoftwareGone
             | Self::RateLimited(_)
             | Self::DeadlinePassed
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
@@ -131,6 +134,7 @@
             Self::BudgetSpent => "budget_spent",
             Self::BudgetUnavailable => "budget_unavailable",
             Self::NoEndpoint => "no_endpoint",
+            Self::SoftwareGone => "software_gone",
             Self::RateLimited(_) => "rate_limited",
             Self::DeadlinePassed => "deadline_passed",
             Self::Stopping => "stopping",
@@ -153,6 +157,9 @@
                 "The tokens are out of reach at the moment; the request has not run."
             }
             Self::NoEndpoint => "No endpoint could take the request; it has not run.",
+            Self::SoftwareGone => {
+                "No endpoint has the software version that began the stream; start it again."
+            }
             Self::RateLimited(_) => {
                 "All endpoints limit their rate at the moment; the request has not run."
             }
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -182,6 +182,10 @@
             self.longest_gap = self.longest_gap.max(gap);
         }
         self.proven_at.get_or_insert(now + PROOF_TIME);
+        let software = &self.guard.software;
+        self.admitted
+            .begun_at
+            .get_or_insert_with(|| software.clone());
         self.last_event_at = now;
         self.last_event_id = event.id.or(self.last_event_id);
         self.event_count += 1;
