Continue streams of returning callers at the version that began them

Routers did not read which attempt began the stream, and no router knew of the streams of others.

Each router remembers which version brought the first event of an attempt. While more than one version can have begun streams of a service, it also writes this to the store, every 100 ms in batches, and reads the row of an attempt that it does not know. Versions have rows as well, with the time at which they left, so that routers that start after a release know that another version served. If more than one version remains possible, the caller is refused with unknown_origin; if the version has no ready endpoint, with software_gone. After a restore of the store, all of it is written again.

--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -11,7 +11,7 @@
 
 use crate::{
     port::{EndpointChange, EndpointUpdate},
-    record::{EndpointRecord, EndpointState, FleetConfig, ServiceId},
+    record::{EndpointRecord, EndpointState, FleetConfig, ServiceId, SoftwareVersion},
 };
 
 /// Time that live endpoints need to register again after an outage of the store. The operators
@@ -42,6 +42,8 @@
     /// Ready endpoints by service, built when they are asked for and cleared when a registration
     /// changes. Listing hundreds of endpoints for each request would take a small VM's processor.
     ready: HashMap<ServiceId, ReadyList>,
+    /// Number of changes of registrations.
+    change: u64,
     store: StoreContact,
     /// Endpoints that left within [`GONE_TTL`].
     gone: HashMap<EndpointId, GoneEndpoint>,
@@ -187,6 +189,7 @@
             set.apply(change, now);
         }
         set.gone.retain(|_, gone| now < gone.forget_at);
+        let before = set.members.len();
         set.members.retain(|id, member| {
             let is_live = member.is_live(now);
             if !is_live {
@@ -194,6 +197,9 @@
             }
             is_live
         });
+        if set.members.len() < before {
+            set.note_change();
+        }
     }
 
     /// Replaces all registrations by those from a peer, if they are newer.
@@ -209,6 +215,20 @@
         self.replace_endpoints(EndpointUpdate { changes, version }, now);
     }
 
+    /// Number that grows with each change of a registration.
+    pub fn registration_change(&self) -> u64 {
+        self.lock_endpoints().change
+    }
+
+    /// Services with the software versions of their endpoints.
+    pub fn software_versions(&self) -> BTreeSet<(ServiceId, SoftwareVersion)> {
+        let set = self.lock_endpoints();
+        let records = set.members.values().map(|member| &member.record);
+        records
+            .map(|record| (record.service.clone(), record.software.clone()))
+            .collect()
+    }
+
     /// Registrations in use.
     pub fn live_endpoints(&self, now: Instant) -> Vec<EndpointRecord> {
         let set = self.lock_endpoints();
@@ -258,6 +278,11 @@
 }
 
 impl EndpointSet {
+    fn note_change(&mut self) {
+        self.ready.clear();
+        self.change += 1;
+    }
+
     fn apply(&mut self, change: EndpointChange, now: Instant) {
         let EndpointChange { id, record } = change;
         if let Some(record) = record {
@@ -281,7 +306,7 @@
                     endpoint = %id, service = %record.service, address = %record.address,
                     state = ?record.state, born = record.started_ms, software = %record.software, "endpoint registered"
                 );
-                self.ready.clear();
+                self.note_change();
             }
             let member = EndpointMember {
                 record,
@@ -299,7 +324,7 @@
                 if member.drop_at.is_none() {
                     tracing::info!(endpoint = %id, "registration lapsed during an outage of the store; kept for now");
                     member.drop_at = Some(drop_at);
-                    self.ready.clear();
+                    self.note_change();
                 }
             }
             _ => {
@@ -312,7 +337,7 @@
                 };
                 self.members.remove(&id);
                 self.gone.insert(id, gone);
-                self.ready.clear();
+                self.note_change();
             }
         }
     }
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -27,6 +27,7 @@
     manager::{BudgetManager, BudgetShortage},
     metric::ForwardMetrics,
     notice::FleetNotice,
+    origin::{StreamOrigin, StreamOrigins},
     port::{CallError, EndpointCall, EndpointPort, EndpointResponse, PortState},
     record::{FleetConfig, RetryPolicy, ServiceId},
     request::{ForwardRequest, ForwardResponse, RefusalKind},
@@ -64,6 +65,7 @@
     bounds: Mutex<FleetBounds>,
     routers: AtomicUsize,
     stop: Mutex<Option<StopWindow>>,
+    pub(crate) origins: Arc<StreamOrigins>,
     suspects: Mutex<SuspectTable>,
     /// News that was not sent to other routers yet.
     outbox: Mutex<FleetNotice>,
@@ -88,6 +90,7 @@
         view: Arc<FleetView>,
         budgets: Arc<BudgetManager>,
         endpoints: Arc<dyn EndpointPort>,
+        origins: Arc<StreamOrigins>,
         bounds: FleetBounds,
     ) -> Arc<Self> {
         Arc::new(Self {
@@ -99,6 +102,7 @@
             bounds: Mutex::new(bounds),
             routers: AtomicUsize::new(1),
             stop: Mutex::default(),
+            origins,
             suspects: Mutex::default(),
             outbox: Mutex::default(),
             notice_added: Notify::new(),
@@ -174,9 +178,10 @@
         let now = Instant::now();
         let at = match kind {
             RefusalKind::BudgetUnavailable => self.budgets.retry_at(now),
-            RefusalKind::NotConfigured | RefusalKind::NoEndpoint | RefusalKind::Stopping => {
-                now + RETRY_AFTER_MIN
-            }
+            RefusalKind::NotConfigured
+            | RefusalKind::NoEndpoint
+            | RefusalKind::UnknownOrigin
+            | RefusalKind::Stopping => now + RETRY_AFTER_MIN,
             RefusalKind::RateLimited(at) => at,
             _ => return None,
         };
@@ -192,6 +197,7 @@
         request: ForwardRequest,
     ) -> Result<ForwardResponse, RefusalKind> {
         let mut admitted = self.admit(request).await?;
+        self.find_origin(&mut admitted).await?;
         let open = self.dispatch(&mut admitted).await?;
         if admitted.route.retry_policy.is_stream() && open.response.status.is_success() {
             return Ok(StreamRelay::start(self.clone(), admitted, open));
@@ -199,6 +205,27 @@
         self.relay_buffered(admitted, open).await
     }
 
+    /// Finds out which software version began a stream that the caller takes up.
+    async fn find_origin(&self, admitted: &mut AdmittedRequest) -> Result<(), RefusalKind> {
+        let request = &admitted.request;
+        if request.resume_from.is_none() || !admitted.route.retry_policy.is_stream() {
+            return Ok(());
+        }
+        let origin = self
+            .origins
+            .find(request.resumes.as_ref(), &admitted.service);
+        let origin = timeout_at(admitted.deadline.into(), origin).await;
+        tracing::info!(request = %request.id, resumes = request.resumes.as_deref(), ?origin, "found where a stream began");
+        match origin {
+            Ok(StreamOrigin::Known(software)) => {
+                admitted.begun_at = Some(software);
+                Ok(())
+            }
+            Ok(StreamOrigin::Unknown) => Err(RefusalKind::UnknownOrigin),
+            Err(_) => Err(RefusalKind::DeadlinePassed),
+        }
+    }
+
     async fn admit(&self, request: ForwardRequest) -> Result<AdmittedRequest, RefusalKind> {
         let config = self.view.config().ok_or(RefusalKind::NotConfigured)?;
         let route = config.route(&request.host, request.path());
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -30,6 +30,7 @@
 mod metric;
 mod node;
 pub mod notice;
+pub mod origin;
 pub mod peer;
 pub mod port;
 pub mod record;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -19,6 +19,7 @@
     group::{self, PeerGroup},
     link::LinkMeter,
     manager::BudgetManager,
+    origin::StreamOrigins,
     peer::{self, PeerRecord},
     port::{EndpointPort, RecordPort},
     setting::{FleetBounds, ForwardSetting},
@@ -73,12 +74,14 @@
         };
         let view = Arc::new(FleetView::default());
         let peers = PeerGroup::new(setting.vm.clone(), record, ports.rows.clone());
+        let origins = Arc::new(StreamOrigins::new(ports.rows.clone()));
         let budgets = BudgetManager::new(holder, ports.rows, peers.clone());
         let forwarder = Forwarder::new(
             setting.failure_domain.clone(),
             view.clone(),
             budgets.clone(),
             ports.endpoints,
+            origins.clone(),
             setting.bounds,
         );
         peer::serve(
@@ -132,6 +135,7 @@
                 forwarder.clone(),
             ))
             .abort_handle(),
+            spawn(origins.write_all(view.clone())).abort_handle(),
             spawn(group::follow_notices(peers.clone(), forwarder.clone())).abort_handle(),
             spawn(prune_endpoint_stats(forwarder.clone())).abort_handle(),
         ];
--- a/crates/forward/src/record.rs
+++ b/crates/forward/src/record.rs
@@ -202,6 +202,13 @@
         prepaid_budgets.collect()
     }
 
+    /// Longest time for which a caller waits for a stream.
+    pub fn longest_stream(&self) -> Duration {
+        let routes = self.routes.values().flatten();
+        let streams = routes.filter(|route| route.retry_policy.is_stream());
+        streams.map(|route| route.timeout).max().unwrap_or_default()
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -88,6 +88,8 @@
     NoEndpoint,
     /// No endpoint has the software version that began the stream; the caller must start again.
     SoftwareGone,
+    /// It is unknown which software version began the stream.
+    UnknownOrigin,
     /// No endpoint accepts a request before this time.
     RateLimited(Instant),
     /// The deadline passed before the request was sent to an endpoint.
@@ -110,6 +112,7 @@
             | Self::BudgetUnavailable
             | Self::NoEndpoint
             | Self::SoftwareGone
+            | Self::UnknownOrigin
             | Self::RateLimited(_)
             | Self::DeadlinePassed
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
@@ -135,6 +138,7 @@
             Self::BudgetUnavailable => "budget_unavailable",
             Self::NoEndpoint => "no_endpoint",
             Self::SoftwareGone => "software_gone",
+            Self::UnknownOrigin => "unknown_origin",
             Self::RateLimited(_) => "rate_limited",
             Self::DeadlinePassed => "deadline_passed",
             Self::Stopping => "stopping",
@@ -160,6 +164,9 @@
             Self::SoftwareGone => {
                 "No endpoint has the software version that began the stream; start it again."
             }
+            Self::UnknownOrigin => {
+                "It is unknown which software version began the stream; start it again."
+            }
             Self::RateLimited(_) => {
                 "All endpoints limit their rate at the moment; the request has not run."
             }
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -182,10 +182,9 @@
             self.longest_gap = self.longest_gap.max(gap);
         }
         self.proven_at.get_or_insert(now + PROOF_TIME);
-        let software = &self.guard.software;
-        self.admitted
-            .begun_at
-            .get_or_insert_with(|| software.clone());
+        if self.admitted.begun_at.is_none() {
+            self.record_start();
+        }
         self.last_event_at = now;
         self.last_event_id = event.id.or(self.last_event_id);
         self.event_count += 1;
@@ -196,6 +195,18 @@
         Some(event.bytes)
     }
 
+    /// Records which software version brings the first event.
+    fn record_start(&mut self) {
+        let software = self.guard.software.clone();
+        self.admitted.begun_at = Some(software.clone());
+        if self.route_resumes() {
+            let (request, service) = (&self.admitted.request, &self.admitted.service);
+            self.forwarder
+                .origins
+                .record_start(&request.id, service, software);
+        }
+    }
+
     /// When the next bytes must arrive. Only events move it: an endpoint that sends single bytes or
     /// comments now and then is as stalled as a silent one.
     fn read_deadline(&self) -> Instant {
--- a/crates/forward/tests/log.rs
+++ b/crates/forward/tests/log.rs
@@ -13,6 +13,7 @@
     jasminewall_core::{HolderId, Tokens},
     jasminewall_forward::{
         BudgetManager, FleetView, Forwarder, PredecessorEnd,
+        origin::StreamOrigins,
         port::{
             CallError, CallFuture, EndpointCall, EndpointChange, EndpointPort, EndpointUpdate,
             PortState,
@@ -156,7 +157,15 @@
     );
     budgets.set_predecessor(PredecessorEnd::Unknown);
     let bounds = FleetBounds::default();
-    Forwarder::new("a".into(), view, budgets, Arc::new(endpoints), bounds)
+    let origins = Arc::new(StreamOrigins::new(Arc::new(rows.clone())));
+    Forwarder::new(
+        "a".into(),
+        view,
+        budgets,
+        Arc::new(endpoints),
+        origins,
+        bounds,
+    )
 }
 
 fn request(id: &str, input: Tokens) -> ForwardRequest {
--- a/crates/forward/tests/restored_store.rs
+++ b/crates/forward/tests/restored_store.rs
@@ -18,8 +18,8 @@
         draws::{DrawRecord, DrawSurvey, acks_needed},
     },
     jasminewall_ports::{
-        Error, MemoryRows, PortFuture, RowCopy, RowFault, RowPage, RowPort, RowReply,
-        RowTransaction, StoreEra,
+        Error, MemoryRows, PortFuture, RowCopy, RowFault, RowKey, RowPage, RowPort, RowReply,
+        RowTransaction, StoreEra, StoredRow,
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
 };
@@ -111,6 +111,10 @@
         self.call(self.rows.read(table, partition))
     }
 
+    fn read_row<'a>(&'a self, key: &'a RowKey) -> PortFuture<'a, Option<StoredRow>> {
+        self.call(self.rows.read_row(key))
+    }
+
     fn watch<'a>(
         &'a self,
         table: &'a str,
--- a/crates/ports/src/row.rs
+++ b/crates/ports/src/row.rs
@@ -135,6 +135,8 @@
     fn transact(&self, transaction: RowTransaction) -> PortFuture<'_, RowReply>;
     /// Reads all rows of a partition.
     fn read<'a>(&'a self, table: &'a str, partition: &'a str) -> PortFuture<'a, RowPage>;
+    /// Reads one row; `None` if it is absent.
+    fn read_row<'a>(&'a self, key: &'a RowKey) -> PortFuture<'a, Option<StoredRow>>;
     /// Waits for changes of a table after version `since`. Returns an empty page at the deadline.
     ///
     /// Fails with `Compacted` if the history since that version is no longer available, or if the
@@ -438,6 +440,13 @@
         Box::pin(async move { page })
     }
 
+    fn read_row<'a>(&'a self, key: &'a RowKey) -> PortFuture<'a, Option<StoredRow>> {
+        Box::pin(async move {
+            let page = self.read(&key.table, &key.partition).await?;
+            Ok(page.rows.into_iter().find(|row| row.key == *key))
+        })
+    }
+
     fn watch<'a>(
         &'a self,
         table: &'a str,
