--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -115,6 +115,7 @@
     /// of endpoints.
     pub fn set_routers(&self, own: VmId, others: Vec<VmId>) {
         self.routers.store(others.len() + 1, Ordering::Relaxed);
+        self.origins.set_routers(others.len() + 1);
         self.balancer().set_routers(own, others, Instant::now());
     }
 
--- a/crates/forward/src/origin.rs
+++ b/crates/forward/src/origin.rs
@@ -9,7 +9,10 @@
 use std::{
     collections::{BTreeSet, HashMap},
     ops::Range,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -32,8 +35,10 @@
 const VERSION_PARTITION: &str = "version";
 /// Partition of the streams, with the attempts that began them as keys.
 const BEGUN_PARTITION: &str = "begun";
-/// Interval at which new streams are written. A crash loses those begun since.
-const WRITE_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest interval at which new streams are written. A crash loses those begun since.
+const WRITE_INTERVAL_MIN: Duration = Duration::from_millis(100);
+/// Write interval per router, so that all of them together write at most 400 times per second.
+const WRITE_INTERVAL_PER_ROUTER: Duration = Duration::from_micros(2_500);
 /// Shortest time for which the origin of a stream is remembered, also after its version left. Routes
 /// with longer streams extend it.
 const ORIGIN_TTL_MIN: Duration = Duration::from_secs(20);
@@ -308,6 +313,8 @@
 /// Streams that this router began, and the versions that serve.
 pub struct StreamOrigins {
     rows: Arc<dyn RowPort>,
+    /// Number of routers that write streams.
+    routers: AtomicU32,
     started: Instant,
     state: Mutex<OriginState>,
 }
@@ -317,11 +324,23 @@
     pub fn new(rows: Arc<dyn RowPort>) -> Self {
         Self {
             rows,
+            routers: AtomicU32::new(1),
             started: Instant::now(),
             state: Mutex::default(),
         }
     }
 
+    /// Sets the number of routers that write streams.
+    pub fn set_routers(&self, routers: usize) {
+        let routers = u32::try_from(routers).unwrap_or(u32::MAX);
+        self.routers.store(routers, Ordering::Relaxed);
+    }
+
+    fn write_interval(&self) -> Duration {
+        let routers = self.routers.load(Ordering::Relaxed);
+        WRITE_INTERVAL_MIN.max(WRITE_INTERVAL_PER_ROUTER.saturating_mul(routers))
+    }
+
     /// Records the version that brought the first event of an attempt.
     pub fn record_start(
         &self,
@@ -399,13 +418,11 @@
 
     /// Writes what other routers need, for as long as this one runs.
     pub(crate) async fn write_all(self: Arc<Self>, view: Arc<FleetView>) {
-        let mut tick = tokio::time::interval(WRITE_INTERVAL);
-        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut seen_change = None;
         let cleanup_s = rand::random_range(CLEANUP_INTERVAL_S);
         let mut cleanup_at = Instant::now() + Duration::from_secs(cleanup_s);
         loop {
-            tick.tick().await;
+            tokio::time::sleep(self.write_interval()).await;
             let change = view.registration_change();
             if !view.is_ready() || view.is_store_unreachable() {
                 continue;
