Tell a run before a restore from a run of unknown end

The heartbeat of an earlier era was taken for one of unknown end, so a copy from before a customer's first draw could still pass for a new customer after the loss of all routers. Found by reading the change; a_heartbeat_names_the_era_in_which_the_accounts_stand fails before with era 2.

--- a/crates/forward/src/group.rs
+++ b/crates/forward/src/group.rs
@@ -256,14 +256,14 @@
         };
         let late = StoreSession::max_lateness(record.heartbeat, page.now_ms);
         // A restored heartbeat says nothing of what the run consumed in the lost time.
-        let is_current = record.era == era_of(page.version);
+        if record.era != era_of(page.version) {
+            return Ok(PredecessorEnd::BeforeRestore);
+        }
         Ok(match late {
-            Some(late) if is_current && record.boot != self.record.boot => {
-                PredecessorEnd::Attached {
-                    boot: record.boot,
-                    late,
-                }
-            }
+            Some(late) if record.boot != self.record.boot => PredecessorEnd::Attached {
+                boot: record.boot,
+                late,
+            },
             _ => PredecessorEnd::Unknown,
         })
     }
@@ -610,8 +610,9 @@
         &'a self,
         customer: &'a CustomerId,
         era: StoreEra,
-    ) -> Pin<Box<dyn Future<Output = DrawSurvey> + Send + 'a>> {
+    ) -> Pin<Box<dyn Future<Output = Option<DrawSurvey>> + Send + 'a>> {
         Box::pin(async move {
+            self.table().era?;
             let keepers = self.keepers();
             let count = keepers.len() + 1;
             let calls = keepers.into_iter().map(|target| async move {
@@ -620,10 +621,10 @@
                 timeout(PEER_TIMEOUT, call).await.ok()?.ok()
             });
             let reports = join_all(calls).await;
-            DrawSurvey {
+            Some(DrawSurvey {
                 keepers: count,
                 reports: reports.into_iter().flatten().collect(),
-            }
+            })
         })
     }
 
--- a/crates/forward/src/manager.rs
+++ b/crates/forward/src/manager.rs
@@ -10,7 +10,7 @@
 };
 
 use {
-    futures_util::future::join_all,
+    futures_util::{StreamExt, future::join_all, stream},
     jasminewall_core::{BootId, CustomerId, GrantLedger, HolderId, RequestId, Tokens},
     jasminewall_ports::{Category, FIRST_ERA, RowPort, RowReply, StoreEra, era_of},
     rand::Rng,
@@ -74,6 +74,9 @@
 const EXHAUSTED_PAUSE: Duration = Duration::from_millis(500);
 /// Longest pause in ms between two attempts; about four transactions of a partition.
 const CONFLICT_PAUSE_MS: u64 = 20;
+/// Number of accounts that are written into a new era at a time. Each may wait for routers that do
+/// not answer.
+const ENTER_CONCURRENCY: usize = 8;
 /// Interval at which idle and excess tokens are returned.
 const REBALANCE_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -123,12 +126,13 @@
         customer: &'a CustomerId,
         record: DrawRecord,
     ) -> Pin<Box<dyn Future<Output = bool> + Send + 'a>>;
-    /// Asks the routers that remember draws for those of a customer, at the start of an era.
+    /// Asks the routers that remember draws for those of a customer, at the start of an era. `None`
+    /// until the other routers are known.
     fn survey_draws<'a>(
         &'a self,
         customer: &'a CustomerId,
         era: StoreEra,
-    ) -> Pin<Box<dyn Future<Output = DrawSurvey> + Send + 'a>>;
+    ) -> Pin<Box<dyn Future<Output = Option<DrawSurvey>> + Send + 'a>>;
     /// Hands tokens over to a peer that owns a grant.
     fn deposit<'a>(
         &'a self,
@@ -617,16 +621,24 @@
             return;
         }
         let budgets: Vec<Arc<CustomerBudget>> = self.budgets().values().cloned().collect();
-        for budget in budgets {
+        let written = budgets.into_iter().map(async |budget| {
             let mut account = budget.account.lock().await;
             if account.era() == era && account.is_known() {
-                continue;
+                return true;
             }
-            if let Err(shortage) = self.commit_change(&budget, &mut account, 0, |_| 0).await {
+            let written = self.commit_change(&budget, &mut account, 0, |_| 0).await;
+            if let Err(shortage) = written {
                 tracing::info!(customer = %budget.customer, era, ?shortage, "an account is not written in the new era yet");
+            }
+            written.is_ok()
+        });
+        let mut written = stream::iter(written).buffer_unordered(ENTER_CONCURRENCY);
+        while let Some(is_written) = written.next().await {
+            if !is_written {
                 return;
             }
         }
+        drop(written);
         self.entered_era.store(era, Ordering::Relaxed);
         tracing::info!(era, "all accounts stand in the new era of the store");
     }
@@ -1012,6 +1024,7 @@
             return Err(BudgetShortage::StoreAway);
         }
         let survey = self.peers.survey_draws(customer, era).await;
+        let survey = survey.ok_or(BudgetShortage::StoreAway)?;
         let own = self.report_draws(customer, era);
         let (join, known) = join_pool(copy, &own, &survey);
         let complete = survey.reports.iter().filter(|report| report.is_complete);
--- a/crates/forward/tests/restored_records.rs
+++ b/crates/forward/tests/restored_records.rs
@@ -17,7 +17,7 @@
         },
         record::{CallerLimits, EndpointRecord, EndpointState, FleetConfig},
     },
-    jasminewall_ports::{MemoryRows, PortFuture, era_version},
+    jasminewall_ports::{MemoryRows, PortFuture, RowKey, era_version},
 };
 
 fn record(id: &str, state: EndpointState, sequence: u64) -> EndpointRecord {
@@ -193,3 +193,25 @@
         .expect("a configuration is known");
     assert_eq!(config.version, 7);
 }
+
+/// Guards against a run that hides from the next one that the run before it may have drawn tokens in
+/// the lost time.
+#[tokio::test]
+async fn a_heartbeat_names_the_era_in_which_the_accounts_stand() {
+    let rows = MemoryRows::new();
+    let key = RowKey::new("heartbeat", "vm-1", "run");
+    let before = r#"{"boot":7,"heartbeat":{"seen_ms":0,"late_ms":750,"detach_ms":2500},"era":1}"#;
+    rows.put(key.clone(), Some(before.into()));
+    rows.restore(rows.copy());
+    // Without a customer, the router cannot have learned the draws of all customers.
+    let platform = ConfigPlatform {
+        config_version: 5,
+        version: era_version(2, 10),
+    };
+    let _node = start_node(&rows, "vm-1", platform).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let row = rows.get(&key).expect("the heartbeat is written");
+    let row: serde_json::Value = serde_json::from_slice(&row).expect("JSON");
+    assert_ne!(row["boot"], 7);
+    assert_eq!(row["era"], 1);
+}
--- a/crates/forward/tests/restored_store.rs
+++ b/crates/forward/tests/restored_store.rs
@@ -223,7 +223,7 @@
         &'a self,
         customer: &'a CustomerId,
         era: StoreEra,
-    ) -> Pin<Box<dyn Future<Output = DrawSurvey> + Send + 'a>> {
+    ) -> Pin<Box<dyn Future<Output = Option<DrawSurvey>> + Send + 'a>> {
         let routers = self.reachable();
         let reports = routers
             .iter()
@@ -232,7 +232,7 @@
             keepers: self.count(),
             reports: reports.collect(),
         };
-        Box::pin(async move { survey })
+        Box::pin(async move { Some(survey) })
     }
 
     fn deposit<'a>(
--- a/crates/forward/tests/support/peers.rs
+++ b/crates/forward/tests/support/peers.rs
@@ -53,8 +53,8 @@
         &'a self,
         _: &'a CustomerId,
         _: StoreEra,
-    ) -> Pin<Box<dyn Future<Output = DrawSurvey> + Send + 'a>> {
-        Box::pin(async { ALONE })
+    ) -> Pin<Box<dyn Future<Output = Option<DrawSurvey>> + Send + 'a>> {
+        Box::pin(async { Some(ALONE) })
     }
 
     fn deposit<'a>(
@@ -103,8 +103,8 @@
         &'a self,
         _: &'a CustomerId,
         _: StoreEra,
-    ) -> Pin<Box<dyn Future<Output = DrawSurvey> + Send + 'a>> {
-        Box::pin(async { ALONE })
+    ) -> Pin<Box<dyn Future<Output = Option<DrawSurvey>> + Send + 'a>> {
+        Box::pin(async { Some(ALONE) })
     }
 
     fn deposit<'a>(
@@ -160,8 +160,8 @@
         &'a self,
         _: &'a CustomerId,
         _: StoreEra,
-    ) -> Pin<Box<dyn Future<Output = DrawSurvey> + Send + 'a>> {
-        Box::pin(async { ALONE })
+    ) -> Pin<Box<dyn Future<Output = Option<DrawSurvey>> + Send + 'a>> {
+        Box::pin(async { Some(ALONE) })
     }
 
     fn deposit<'a>(
