--- a/crates/forward/src/budget.rs
+++ b/crates/forward/src/budget.rs
@@ -65,7 +65,8 @@
     pub(crate) refilling: bool,
     /// Pool that recently had too few tokens.
     pub(crate) exhausted: Option<ExhaustedPool>,
-    /// Draws from the pool as far as known, those of other routers included.
+    /// Draws from the pool as far as known, those of other routers included; one entry for each VM
+    /// that ever drew.
     pub(crate) known_draws: DrawMap,
     /// Whether all draws before this run's start are in `known_draws`.
     pub(crate) knows_earlier_draws: bool,
--- a/crates/forward/src/draws.rs
+++ b/crates/forward/src/draws.rs
@@ -126,11 +126,11 @@
         );
     }
     let complete = reports().filter(|report| report.is_complete).count();
-    let forgetful = survey.keepers.saturating_sub(complete);
+    let incomplete = survey.keepers.saturating_sub(complete);
     // Nobody has heard of the customer, and nobody can have forgotten it.
     let is_new =
         complete == 0 && known.is_empty() && !reports().any(|report| report.follows_restore);
-    if !is_new && forgetful > loss_tolerance(survey.keepers) {
+    if !is_new && incomplete > loss_tolerance(survey.keepers) {
         return (PoolJoin::Incomplete, known);
     }
     (PoolJoin::Complete(drawn_since(copy, &known)), known)
--- a/crates/forward/src/manager/era.rs
+++ b/crates/forward/src/manager/era.rs
@@ -24,6 +24,7 @@
 /// Number of accounts that are written into a new era at a time. Each may wait for routers that do
 /// not answer.
 const ENTER_CONCURRENCY: usize = 8;
+
 impl BudgetManager {
     /// Reads the accounts of customers whose earlier draws this router does not know, so that it can
     /// tell others of them when the store is restored.
--- a/crates/forward/src/origin.rs
+++ b/crates/forward/src/origin.rs
@@ -108,6 +108,7 @@
     /// Time for which callers may take up a stream after it began.
     ttl: Duration,
     streams: HashMap<AttemptId, BegunStream>,
+    /// Versions that serve, or left within `ttl`.
     versions: HashMap<(ServiceId, SoftwareVersion), SeenVersion>,
     /// Whether the versions that served before the start of this run are known.
     is_loaded: bool,
