--- a/review/stand/fleet.rs
+++ b/review/stand/fleet.rs
@@ -5,6 +5,7 @@
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::Mutex,
     thread,
     time::{Duration, Instant},
 };
@@ -20,9 +21,9 @@
 }
 
 impl Default for Bounds {
-    /// Those of `sites/vitrales-andinos.toml`.
+    /// Those of `sites/llvc-auth.toml`.
     fn default() -> Self {
-        Self { grace_s: 8.0, drain_ms: 2_000.0, retry_slack: 58.0 }
+        Self { grace_s: 8.0, drain_ms: 2_000.0, retry_slack: 56.0 }
     }
 }
 
@@ -35,7 +36,16 @@
     root: PathBuf,
     child: Child,
     record: Record,
-    pub started: Instant,
+}
+
+/// Processes that were started and not waited for.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Kills all routers that still run, before the process exits without unwinding.
+pub fn kill_all() {
+    for pid in RUNNING.lock().unwrap().iter() {
+        let _ = Command::new("kill").arg("-KILL").arg(pid.to_string()).status();
+    }
 }
 
 fn free_port(ip: &str) -> SocketAddr {
@@ -90,7 +100,6 @@
             root: root.into(),
             child,
             record: record.clone(),
-            started: Instant::now(),
         }
     }
 
@@ -105,7 +114,9 @@
             .stdin(Stdio::null())
             .stdout(file.try_clone().expect("a log file"))
             .stderr(file);
-        command.spawn().expect("the router starts; build it first")
+        let child = command.spawn().expect("the router starts; build it first");
+        RUNNING.lock().unwrap().push(child.id());
+        child
     }
 
     pub fn pid(&self) -> u32 {
@@ -122,10 +133,9 @@
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
 
-    /// Stops the router as the platform does: SIGTERM, and SIGKILL after the grace period.
-    pub fn stop(&mut self, grace: Duration) {
-        self.signal("TERM");
-        let deadline = Instant::now() + grace;
+    /// Waits until the process has ended; kills it after `limit`, as the platform does.
+    pub fn wait_exit(&mut self, limit: Duration) {
+        let deadline = Instant::now() + limit;
         while Instant::now() < deadline && !self.has_exited() {
             thread::sleep(Duration::from_millis(10));
         }
@@ -136,13 +146,18 @@
         if !self.has_exited() {
             self.signal("KILL");
         }
-        let _ = self.child.wait();
+        self.reap();
         self.record.line(&format!("router {} has ended", self.name));
     }
 
+    fn reap(&mut self) {
+        let _ = self.child.wait();
+        let pid = self.pid();
+        RUNNING.lock().unwrap().retain(|other| *other != pid);
+    }
+
     pub fn restart(&mut self) {
         self.child = Self::spawn(&self.root, &self.settings, &self.log);
-        self.started = Instant::now();
         self.record.line(&format!("router {} starts again", self.name));
     }
 
@@ -165,10 +180,6 @@
         }
         false
     }
-
-    pub fn log_text(&self) -> String {
-        fs::read_to_string(&self.log).unwrap_or_default()
-    }
 }
 
 impl Drop for Router {
@@ -176,6 +187,6 @@
         if !self.has_exited() {
             let _ = self.child.kill();
         }
-        let _ = self.child.wait();
+        self.reap();
     }
 }
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -8,19 +8,24 @@
 mod poison;
 mod prepaid;
 mod record;
+mod starved;
 mod store;
-mod upload;
+mod stranded;
 mod worker;
 
 use std::{
+    panic::{self, AssertUnwindSafe},
     path::{Path, PathBuf},
     process::ExitCode,
     sync::atomic::{AtomicU64, Ordering},
+    thread,
     time::{Duration, Instant},
 };
 
 use crate::{http::Answer, record::Record};
 
+/// Longest run of a case.
+const TIME_LIMIT: Duration = Duration::from_secs(115);
 /// Tokens in an event of a stream.
 pub const STRIDE: u64 = 7;
 /// `StableWindowMs` of the small sites.
@@ -139,14 +144,24 @@
         record: Record::create(&Path::new(&folder).join("record.txt")),
         trouble: std::env::var("TROUBLE").map_or(true, |value| value != "0"),
     };
-    let verdict = match case.as_str() {
-        "upload" => upload::run(&stage),
+    thread::spawn(|| {
+        thread::sleep(TIME_LIMIT);
+        println!("the case took too long");
+        fleet::kill_all();
+        std::process::exit(2);
+    });
+    let run = || match case.as_str() {
+        "stranded" => stranded::run(&stage),
         "order" => order::run(&stage),
         "poison" => poison::run(&stage),
+        "starved" => starved::run(&stage),
         "prepaid" => prepaid::run(&stage),
         _ => Verdict::CouldNotRun,
     };
+    // A panic means that the case could not run; the routers end with their handles.
+    let verdict = panic::catch_unwind(AssertUnwindSafe(run)).unwrap_or(Verdict::CouldNotRun);
     stage.record.say(&format!("trouble: {}, verdict: {verdict:?}", stage.trouble));
+    // `KEEP=1` keeps the logs of the routers.
     if std::env::var("KEEP").is_err() {
         let _ = std::fs::remove_dir_all(&temporary);
     } else {
--- a/review/stand/order.rs
+++ b/review/stand/order.rs
@@ -18,11 +18,20 @@
     worker::Worker,
 };
 
+/// Workers of the service, of which one in four is down at a time.
+const WORKERS: usize = 4;
+/// Time for which a crashed worker is down.
+const DOWN: Duration = Duration::from_secs(3);
+/// Time between the return of a worker and the crash of the next one.
+const NEXT: Duration = Duration::from_millis(50);
+/// Streams with events of two versions that the rule allows.
+const ALLOWED: usize = 2;
+
 pub fn run(stage: &Stage) -> Verdict {
     let record = &stage.record;
     let store = Store::new();
     store.put("op", "config", Some(&config(7, &[("tenant-a", "key-a", 2_000_000_000)])));
-    let workers: Vec<Worker> = (1..=3)
+    let workers: Vec<Worker> = (1..=WORKERS)
         .map(|number| Worker::start(&format!("i-{number}"), "llm", "v1", &store, record))
         .collect();
     for worker in &workers {
@@ -69,15 +78,13 @@
         .collect();
     thread::sleep(Duration::from_secs(5));
     if stage.trouble {
-        for (index, worker) in workers.iter().enumerate() {
-            worker.crash(None, Duration::from_secs(3), Some("v2"));
-            let _ = index;
+        for worker in &workers {
+            worker.crash(None, DOWN, Some("v2"));
             let deadline = Instant::now() + Duration::from_secs(8);
             while !worker.is_up() && Instant::now() < deadline {
                 thread::sleep(Duration::from_millis(5));
             }
-            let gap = std::env::var("GAP_MS").ok().and_then(|gap| gap.parse().ok()).unwrap_or(100);
-            thread::sleep(Duration::from_millis(gap));
+            thread::sleep(NEXT);
         }
     }
     thread::sleep(Duration::from_secs(6));
@@ -97,5 +104,5 @@
     let mixed: Vec<&String> =
         versions.iter().filter(|(_, seen)| seen.len() > 1).map(|(attempt, _)| attempt).collect();
     record.say(&format!("{} streams with events of two software versions: {mixed:?}", mixed.len()));
-    if mixed.len() > 2 { Verdict::Broken } else { Verdict::Held }
+    if mixed.len() > ALLOWED { Verdict::Broken } else { Verdict::Held }
 }
--- a/review/stand/prepaid.rs
+++ b/review/stand/prepaid.rs
@@ -4,7 +4,7 @@
     collections::{HashMap, HashSet},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -22,12 +22,18 @@
 const PREPAID: u64 = 200_000;
 const INPUT: u64 = 1_000;
 const OUTPUT: u64 = 70;
+/// `answer_lost` at its dose: share 0.6 of the workers lose 0.3 of their answers for 6 s.
+const WORKERS: usize = 5;
+const LOSING: usize = 3;
+const LOST: (u64, u64) = (3, 10);
+const LOSS_TIME: Duration = Duration::from_secs(6);
+const CALM_TIME: Duration = Duration::from_secs(1);
 
 pub fn run(stage: &Stage) -> Verdict {
     let record = &stage.record;
     let store = Store::new();
     store.put("op", "config", Some(&config(7, &[("tenant-a", "key-a", PREPAID)])));
-    let workers: Vec<Worker> = (1..=3)
+    let workers: Vec<Worker> = (1..=WORKERS)
         .map(|number| Worker::start(&format!("i-{number}"), "llm", "v1", &store, record))
         .collect();
     let address = store.serve();
@@ -42,13 +48,21 @@
         return Verdict::CouldNotRun;
     }
     thread::sleep(Duration::from_secs(6));
-    if stage.trouble {
-        // `answer_lost`: share 0.6 of the workers lose 0.4 of their answers.
-        for worker in &workers[..2] {
-            worker.set(|behavior| behavior.lose = Some((2, 5)));
-        }
-    }
     let begin = Instant::now();
+    let ended = Arc::new(AtomicBool::new(false));
+    let losses = {
+        let (trouble, ended, workers) = (stage.trouble, ended.clone(), workers.clone());
+        thread::spawn(move || {
+            while trouble && !ended.load(Ordering::Relaxed) {
+                for (lose, time) in [(Some(LOST), LOSS_TIME), (None, CALM_TIME)] {
+                    for worker in &workers[..LOSING] {
+                        worker.set(|behavior| behavior.lose = lose);
+                    }
+                    thread::sleep(time);
+                }
+            }
+        })
+    };
     let number = Arc::new(AtomicU64::new(0));
     let delivered: Arc<Mutex<HashMap<String, u64>>> = Arc::default();
     let refused = Arc::new(AtomicU64::new(0));
@@ -87,6 +101,8 @@
     for client in clients {
         let _ = client.join();
     }
+    ended.store(true, Ordering::Relaxed);
+    let _ = losses.join();
     let delivered = delivered.lock().unwrap();
     let ran: HashSet<String> = record.runs().into_iter().map(|run| run.attempt).collect();
     let input = ran.len() as u64 * INPUT;
--- a/review/stand/record.rs
+++ b/review/stand/record.rs
@@ -13,6 +13,7 @@
 struct Content {
     file: File,
     runs: Vec<Run>,
+    crashes: Vec<Instant>,
 }
 
 #[derive(Clone)]
@@ -26,7 +27,7 @@
         let file = File::create(path).expect("a file for the record");
         Self {
             started: Instant::now(),
-            content: Arc::new(Mutex::new(Content { file, runs: Vec::new() })),
+            content: Arc::new(Mutex::new(Content { file, runs: Vec::new(), crashes: Vec::new() })),
         }
     }
 
@@ -49,6 +50,15 @@
         self.content.lock().unwrap().runs.push(run);
     }
 
+    pub fn crash(&self, worker: &str) {
+        self.line(&format!("worker {worker} crashed"));
+        self.content.lock().unwrap().crashes.push(Instant::now());
+    }
+
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.content.lock().unwrap().crashes.clone()
+    }
+
     pub fn runs(&self) -> Vec<Run> {
         self.content.lock().unwrap().runs.clone()
     }
--- a/review/stand/worker.rs
+++ b/review/stand/worker.rs
@@ -191,7 +191,7 @@
         }
         state.connections.clear();
         drop(state);
-        self.record.line(&format!("worker {} crashed", self.id));
+        self.record.crash(&self.id);
         let worker = self.clone();
         thread::spawn(move || {
             let back = Instant::now() + down;
