Give each process of the review's cases a loopback address of its own

Change: addresses from the id of the case's process; the ports of a router are held until all are chosen.

--- a/review/stand/fleet.rs
+++ b/review/stand/fleet.rs
@@ -48,9 +48,9 @@
     }
 }
 
-fn free_port(ip: &str) -> SocketAddr {
-    let listener = TcpListener::bind((ip, 0)).expect("a free port");
-    listener.local_addr().expect("a bound address")
+fn free_ports<const COUNT: usize>(ip: &str) -> [SocketAddr; COUNT] {
+    let listeners = [(); COUNT].map(|()| TcpListener::bind((ip, 0)).expect("a free port"));
+    listeners.map(|listener| listener.local_addr().expect("a bound address"))
 }
 
 impl Router {
@@ -64,9 +64,7 @@
         folder: &Path,
         record: &Record,
     ) -> Self {
-        let ip = format!("127.0.0.{}", 11 + index);
-        let (front, readiness, peer) = (free_port(&ip), free_port(&ip), free_port(&ip));
-        let metrics = free_port(&ip);
+        let [front, readiness, peer, metrics] = free_ports(&crate::own_address());
         let name = format!("edge-{}", index + 1);
         let template = fs::read_to_string(root.join("deploy/router.ini")).expect("the template");
         let values = [
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -63,6 +63,16 @@
     pub gap: Duration,
 }
 
+static ADDRESSES: AtomicU64 = AtomicU64::new(2);
+
+/// Loopback address that no other process of a case uses, so that its ports stay free while it is
+/// down.
+pub fn own_address() -> String {
+    let pid = std::process::id();
+    let last = ADDRESSES.fetch_add(1, Ordering::Relaxed);
+    format!("127.{}.{}.{last}", 1 + pid % 200, 1 + pid / 200 % 200)
+}
+
 static ATTEMPTS: AtomicU64 = AtomicU64::new(0);
 
 /// Sends a request on a new connection. Returns its `Attempt-Id` and the answer.
--- a/review/stand/worker.rs
+++ b/review/stand/worker.rs
@@ -93,7 +93,7 @@
 
 impl Worker {
     pub fn start(id: &str, service: &str, version: &str, store: &Store, record: &Record) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let listener = TcpListener::bind((crate::own_address(), 0)).expect("a free port");
         let worker = Self {
             id: id.into(),
             service: service.into(),
