--- a/review/stand/order.rs
+++ b/review/stand/order.rs
@@ -52,7 +52,7 @@
     let running = Arc::new(AtomicBool::new(true));
     let number = Arc::new(AtomicU64::new(0));
     let delivered: Arc<Mutex<HashMap<String, Vec<u64>>>> = Arc::default();
-    let clients: Vec<_> = (0..15)
+    let clients: Vec<_> = (0..30)
         .map(|index| {
             let (number, delivered, running) = (number.clone(), delivered.clone(), running.clone());
             let (front, record) = (routers[index % 3].front, record.clone());
