--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. Writes
+# record.txt beside this file. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 for program in target/release/jasminewall target/review/stand; do
     if [ ! -x "$program" ]; then
@@ -7,4 +8,5 @@
         exit 2
     fi
 done
-exec target/review/stand prepaid review/3
+export TROUBLE="${TROUBLE:-1}"
+exec target/review/stand prepaid review/3/record.txt
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -1,5 +1,5 @@
-//! Runs one case of the review: `stand CASE FOLDER`. Exits with 1 if the rule was broken, 0 if it
-//! held, and 2 if the case could not run.
+//! Runs one case of the review: `stand CASE RECORD`. Exits with 1 if the rule was broken, 0 if it
+//! held, and 2 if the case could not run. With `TROUBLE=0` the disruption is left out.
 
 mod fleet;
 mod http;
@@ -141,8 +141,8 @@
 
 fn main() -> ExitCode {
     let mut words = std::env::args().skip(1);
-    let (Some(case), Some(folder)) = (words.next(), words.next()) else {
-        eprintln!("stand CASE FOLDER");
+    let (Some(case), Some(record)) = (words.next(), words.next()) else {
+        eprintln!("stand CASE RECORD");
         return ExitCode::from(2);
     };
     let root = std::env::current_dir().expect("a current folder");
@@ -151,7 +151,7 @@
     let stage = Stage {
         root,
         temporary: temporary.clone(),
-        record: Record::create(&Path::new(&folder).join("record.txt")),
+        record: Record::create(Path::new(&record)),
         trouble: std::env::var("TROUBLE").map_or(true, |value| value != "0"),
     };
     thread::spawn(|| {
