Lay the stand-ins of the review out with the formatter

Cause: the files of review/stand are outside the workspace, so that the formatter had not seen them.

--- a/review/stand/fleet.rs
+++ b/review/stand/fleet.rs
@@ -23,7 +23,11 @@
 impl Default for Bounds {
     /// Those of `sites/llvc-auth.toml`.
     fn default() -> Self {
-        Self { grace_s: 8.0, drain_ms: 2_000.0, retry_slack: 56.0 }
+        Self {
+            grace_s: 8.0,
+            drain_ms: 2_000.0,
+            retry_slack: 56.0,
+        }
     }
 }
 
@@ -44,7 +48,10 @@
 /// Kills all routers that still run, before the process exits without unwinding.
 pub fn kill_all() {
     for pid in RUNNING.lock().unwrap().iter() {
-        let _ = Command::new("kill").arg("-KILL").arg(pid.to_string()).status();
+        let _ = Command::new("kill")
+            .arg("-KILL")
+            .arg(pid.to_string())
+            .status();
     }
 }
 
@@ -82,8 +89,13 @@
             ("{{Bounds.RetrySlack}}", bounds.retry_slack.to_string()),
             ("{{Ip}}:9464", metrics.to_string()),
         ];
-        let filled = values.iter().fold(template, |text, (name, value)| text.replace(name, value));
-        assert!(!filled.contains("{{"), "a placeholder is left in the settings:\n{filled}");
+        let filled = values
+            .iter()
+            .fold(template, |text, (name, value)| text.replace(name, value));
+        assert!(
+            !filled.contains("{{"),
+            "a placeholder is left in the settings:\n{filled}"
+        );
         let settings = folder.join(format!("{name}.ini"));
         fs::write(&settings, filled).expect("a settings file");
         let log = folder.join(format!("{name}.log"));
@@ -102,7 +114,11 @@
     }
 
     fn spawn(root: &Path, settings: &Path, log: &Path) -> Child {
-        let file = File::options().create(true).append(true).open(log).expect("a log file");
+        let file = File::options()
+            .create(true)
+            .append(true)
+            .open(log)
+            .expect("a log file");
         let mut command = Command::new(root.join("target/release/jasminewall"));
         command
             .arg("serve")
@@ -123,8 +139,12 @@
 
     /// Sends a signal, such as `TERM`, to this process.
     pub fn signal(&self, signal: &str) {
-        self.record.line(&format!("router {} gets SIG{signal}", self.name));
-        let _ = Command::new("kill").arg(format!("-{signal}")).arg(self.pid().to_string()).status();
+        self.record
+            .line(&format!("router {} gets SIG{signal}", self.name));
+        let _ = Command::new("kill")
+            .arg(format!("-{signal}"))
+            .arg(self.pid().to_string())
+            .status();
     }
 
     pub fn has_exited(&mut self) -> bool {
@@ -156,7 +176,8 @@
 
     pub fn restart(&mut self) {
         self.child = Self::spawn(&self.root, &self.settings, &self.log);
-        self.record.line(&format!("router {} starts again", self.name));
+        self.record
+            .line(&format!("router {} starts again", self.name));
     }
 
     /// Answer to the platform's readiness check.
--- a/review/stand/http.rs
+++ b/review/stand/http.rs
@@ -17,7 +17,9 @@
 impl Head {
     pub fn get(&self, name: &str) -> &str {
         let mut headers = self.headers.iter();
-        headers.find(|(key, _)| key == name).map_or("", |(_, value)| value)
+        headers
+            .find(|(key, _)| key == name)
+            .map_or("", |(_, value)| value)
     }
 
     /// Second word of the first line: the target of a request or the status of a response.
@@ -105,7 +107,12 @@
 
 impl Answer {
     fn new(end: End) -> Self {
-        Self { end, head: None, body: Vec::new(), retry_after: None }
+        Self {
+            end,
+            head: None,
+            body: Vec::new(),
+            retry_after: None,
+        }
     }
 
     /// Ids of the complete events in the body.
@@ -113,7 +120,9 @@
         let text = String::from_utf8_lossy(&self.body);
         let complete = text.rfind("\n\n").map_or("", |end| &text[..end]);
         let lines = complete.lines();
-        lines.filter_map(|line| line.strip_prefix("id:")?.trim().parse().ok()).collect()
+        lines
+            .filter_map(|line| line.strip_prefix("id:")?.trim().parse().ok())
+            .collect()
     }
 }
 
@@ -137,12 +146,18 @@
     };
     wait(&stream);
     let mut writer = &stream;
-    if writer.write_all(request).and_then(|()| writer.write_all(body)).is_err() {
+    if writer
+        .write_all(request)
+        .and_then(|()| writer.write_all(body))
+        .is_err()
+    {
         return answer;
     }
     let mut reader = BufReader::new(&stream);
     let result = (|| -> io::Result<bool> {
-        let Some(head) = read_head(&mut reader)? else { return Ok(false) };
+        let Some(head) = read_head(&mut reader)? else {
+            return Ok(false);
+        };
         answer.retry_after = head.get("retry-after").parse().ok();
         let is_chunked = head.get("transfer-encoding").contains("chunked");
         let length = head.number("content-length");
@@ -163,7 +178,10 @@
     answer.end = match (result, &answer.head) {
         (Ok(true), Some(head)) => End::Status(head.status()),
         (Err(error), _)
-            if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) =>
+            if matches!(
+                error.kind(),
+                io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+            ) =>
         {
             End::GaveUp
         }
--- a/review/stand/json.rs
+++ b/review/stand/json.rs
@@ -45,7 +45,10 @@
     }
 
     pub fn parse(text: &str) -> Option<Json> {
-        let mut parser = Parser { bytes: text.as_bytes(), at: 0 };
+        let mut parser = Parser {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         let value = parser.value()?;
         parser.space();
         (parser.at == parser.bytes.len()).then_some(value)
@@ -106,7 +109,9 @@
                 }
                 loop {
                     self.space();
-                    let Json::Text(name) = self.value()? else { return None };
+                    let Json::Text(name) = self.value()? else {
+                        return None;
+                    };
                     self.eat(b':')?;
                     fields.push((name, self.value()?));
                     if self.eat(b',').is_none() {
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -76,7 +76,11 @@
 static ATTEMPTS: AtomicU64 = AtomicU64::new(0);
 
 /// Sends a request on a new connection. Returns its `Attempt-Id` and the answer.
-pub fn send(router: std::net::SocketAddr, request: &Request<'_>, record: &Record) -> (String, Answer) {
+pub fn send(
+    router: std::net::SocketAddr,
+    request: &Request<'_>,
+    record: &Record,
+) -> (String, Answer) {
     let attempt = format!("{:016x}", ATTEMPTS.fetch_add(1, Ordering::Relaxed) + 1);
     let mut text = format!(
         "POST {} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {attempt}\r\nDeadline-Ms: {}\r\n\
@@ -108,7 +112,12 @@
 
 /// Configuration with one tenant per entry of `tenants`: name, key and prepaid tokens.
 pub fn config(version: u64, tenants: &[(&str, &str, u64)]) -> String {
-    let route = |name: &str, kind: &str, service: &str, attempts: u32, resume: bool, timeout: u32| {
+    let route = |name: &str,
+                 kind: &str,
+                 service: &str,
+                 attempts: u32,
+                 resume: bool,
+                 timeout: u32| {
         format!(
             "{{\"Name\":\"r-{name}\",\"Host\":\"shop.example\",\"Prefix\":\"/{name}/\",\"Kind\":\"{kind}\",\
              \"TimeoutMs\":{timeout},\"TargetLatencyMs\":500,\"TargetGapMs\":300,\"Priority\":1,\
@@ -170,7 +179,9 @@
     };
     // A panic means that the case could not run; the routers end with their handles.
     let verdict = panic::catch_unwind(AssertUnwindSafe(run)).unwrap_or(Verdict::CouldNotRun);
-    stage.record.say(&format!("trouble: {}, verdict: {verdict:?}", stage.trouble));
+    stage
+        .record
+        .say(&format!("trouble: {}, verdict: {verdict:?}", stage.trouble));
     // `KEEP=1` keeps the logs of the routers.
     if std::env::var("KEEP").is_err() {
         let _ = std::fs::remove_dir_all(&temporary);
--- a/review/stand/order.rs
+++ b/review/stand/order.rs
@@ -30,7 +30,11 @@
 pub fn run(stage: &Stage) -> Verdict {
     let record = &stage.record;
     let store = Store::new();
-    store.put("op", "config", Some(&config(7, &[("tenant-a", "key-a", 2_000_000_000)])));
+    store.put(
+        "op",
+        "config",
+        Some(&config(7, &[("tenant-a", "key-a", 2_000_000_000)])),
+    );
     let workers: Vec<Worker> = (1..=WORKERS)
         .map(|number| Worker::start(&format!("i-{number}"), "llm", "v1", &store, record))
         .collect();
@@ -42,10 +46,21 @@
     let routers: Vec<Router> = (0..3)
         .map(|index| {
             let zone = ["a", "b", "c"][index];
-            Router::start(index, zone, address, &bounds, &stage.root, &stage.temporary, record)
+            Router::start(
+                index,
+                zone,
+                address,
+                &bounds,
+                &stage.root,
+                &stage.temporary,
+                record,
+            )
         })
         .collect();
-    if !routers.iter().all(|router| router.wait_ready(Duration::from_secs(10))) {
+    if !routers
+        .iter()
+        .all(|router| router.wait_ready(Duration::from_secs(10)))
+    {
         return Verdict::CouldNotRun;
     }
     thread::sleep(Duration::from_secs(4));
@@ -71,7 +86,9 @@
                     };
                     let (attempt, answer) = send(front, &request, &record);
                     delivered.lock().unwrap().insert(attempt, answer.events());
-                    thread::sleep(Duration::from_secs_f64(answer.retry_after.unwrap_or(0.02).min(0.3)));
+                    thread::sleep(Duration::from_secs_f64(
+                        answer.retry_after.unwrap_or(0.02).min(0.3),
+                    ));
                 }
             })
         })
@@ -95,14 +112,28 @@
     let delivered = delivered.lock().unwrap();
     let mut versions: HashMap<String, BTreeSet<String>> = HashMap::new();
     for run in record.runs() {
-        let got = delivered.get(&run.attempt).and_then(|events| events.last()).copied().unwrap_or(0);
+        let got = delivered
+            .get(&run.attempt)
+            .and_then(|events| events.last())
+            .copied()
+            .unwrap_or(0);
         // A run whose events did not reach the client says nothing.
         if run.resume_from.unwrap_or(0) < got {
             versions.entry(run.attempt).or_default().insert(run.version);
         }
     }
-    let mixed: Vec<&String> =
-        versions.iter().filter(|(_, seen)| seen.len() > 1).map(|(attempt, _)| attempt).collect();
-    record.say(&format!("{} streams with events of two software versions: {mixed:?}", mixed.len()));
-    if mixed.len() > ALLOWED { Verdict::Broken } else { Verdict::Held }
+    let mixed: Vec<&String> = versions
+        .iter()
+        .filter(|(_, seen)| seen.len() > 1)
+        .map(|(attempt, _)| attempt)
+        .collect();
+    record.say(&format!(
+        "{} streams with events of two software versions: {mixed:?}",
+        mixed.len()
+    ));
+    if mixed.len() > ALLOWED {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/stand/poison.rs
+++ b/review/stand/poison.rs
@@ -39,7 +39,11 @@
 pub fn run(stage: &Stage) -> Verdict {
     let record = &stage.record;
     let store = Store::new();
-    store.put("op", "config", Some(&config(7, &[("tenant-a", "key-a", 2_000_000_000)])));
+    store.put(
+        "op",
+        "config",
+        Some(&config(7, &[("tenant-a", "key-a", 2_000_000_000)])),
+    );
     let workers: Vec<Worker> = (1..=3)
         .map(|number| Worker::start(&format!("i-{number}"), "llm", "v1", &store, record))
         .collect();
@@ -51,15 +55,27 @@
     let mut routers: Vec<Router> = (0..3)
         .map(|index| {
             let zone = ["a", "b", "c"][index];
-            Router::start(index, zone, address, &bounds, &stage.root, &stage.temporary, record)
+            Router::start(
+                index,
+                zone,
+                address,
+                &bounds,
+                &stage.root,
+                &stage.temporary,
+                record,
+            )
         })
         .collect();
-    if !routers.iter().all(|router| router.wait_ready(Duration::from_secs(10))) {
+    if !routers
+        .iter()
+        .all(|router| router.wait_ready(Duration::from_secs(10)))
+    {
         return Verdict::CouldNotRun;
     }
     thread::sleep(Duration::from_secs(4));
-    let fronts: Arc<Mutex<Vec<SocketAddr>>> =
-        Arc::new(Mutex::new(routers.iter().map(|router| router.front).collect()));
+    let fronts: Arc<Mutex<Vec<SocketAddr>>> = Arc::new(Mutex::new(
+        routers.iter().map(|router| router.front).collect(),
+    ));
     let running = Arc::new(AtomicBool::new(true));
     let number = Arc::new(AtomicU64::new(0));
     // Router that a request with the deadly part was sent to.
@@ -102,8 +118,10 @@
         })
     };
     let begin = Instant::now();
-    let clients =
-        [client(Duration::from_millis(100), false), client(Duration::from_millis(500), true)];
+    let clients = [
+        client(Duration::from_millis(100), false),
+        client(Duration::from_millis(500), true),
+    ];
     let limits = {
         let (running, workers) = (running.clone(), workers.clone());
         thread::spawn(move || {
@@ -157,17 +175,30 @@
     let deadly = runs.iter().filter(|run| run.prefix.contains("dead:"));
     let late: Vec<f64> = deadly
         .filter(|run| fifth.is_some_and(|from| run.at > from))
-        .filter(|run| senders.get(&run.attempt).is_some_and(|front| is_in_touch(*front, run.at)))
+        .filter(|run| {
+            senders
+                .get(&run.attempt)
+                .is_some_and(|front| is_in_touch(*front, run.at))
+        })
         .map(|run| (run.at - begin).as_secs_f64())
         .collect();
-    let crashed: Vec<String> =
-        crashes.iter().map(|at| format!("{:.1}", (*at - begin).as_secs_f64())).collect();
-    record.say(&format!("workers crashed at {} s of the traffic", crashed.join(", ")));
+    let crashed: Vec<String> = crashes
+        .iter()
+        .map(|at| format!("{:.1}", (*at - begin).as_secs_f64()))
+        .collect();
+    record.say(&format!(
+        "workers crashed at {} s of the traffic",
+        crashed.join(", ")
+    ));
     record.say(&format!(
         "{} requests with the deadly part reached workers later than {STABLE_WINDOW:?} after the \
          fifth crash, from routers in touch; {ALLOWED} are allowed; {} sound streams were cut",
         late.len(),
         cut.load(Ordering::Relaxed)
     ));
-    if late.len() > ALLOWED { Verdict::Broken } else { Verdict::Held }
+    if late.len() > ALLOWED {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/stand/prepaid.rs
+++ b/review/stand/prepaid.rs
@@ -32,7 +32,11 @@
 pub fn run(stage: &Stage) -> Verdict {
     let record = &stage.record;
     let store = Store::new();
-    store.put("op", "config", Some(&config(7, &[("tenant-a", "key-a", PREPAID)])));
+    store.put(
+        "op",
+        "config",
+        Some(&config(7, &[("tenant-a", "key-a", PREPAID)])),
+    );
     let workers: Vec<Worker> = (1..=WORKERS)
         .map(|number| Worker::start(&format!("i-{number}"), "llm", "v1", &store, record))
         .collect();
@@ -41,10 +45,21 @@
     let routers: Vec<Router> = (0..3)
         .map(|index| {
             let zone = ["a", "b", "c"][index];
-            Router::start(index, zone, address, &bounds, &stage.root, &stage.temporary, record)
+            Router::start(
+                index,
+                zone,
+                address,
+                &bounds,
+                &stage.root,
+                &stage.temporary,
+                record,
+            )
         })
         .collect();
-    if !routers.iter().all(|router| router.wait_ready(Duration::from_secs(10))) {
+    if !routers
+        .iter()
+        .all(|router| router.wait_ready(Duration::from_secs(10)))
+    {
         return Verdict::CouldNotRun;
     }
     thread::sleep(Duration::from_secs(6));
@@ -74,7 +89,8 @@
                 let mut in_a_row = 0;
                 while begin.elapsed() < Duration::from_secs(60) && in_a_row < 10 {
                     let number = number.fetch_add(1, Ordering::Relaxed) + 1;
-                    let (count, prefix) = (format!("{INPUT},{OUTPUT}"), format!("{number:x}:{INPUT}"));
+                    let (count, prefix) =
+                        (format!("{INPUT},{OUTPUT}"), format!("{number:x}:{INPUT}"));
                     let request = Request {
                         path: "/draft/2f",
                         key: "key-a",
@@ -85,7 +101,10 @@
                         gap: Duration::from_millis(2_400),
                     };
                     let (attempt, answer) = send(front, &request, &record);
-                    delivered.lock().unwrap().insert(attempt, answer.events().len() as u64);
+                    delivered
+                        .lock()
+                        .unwrap()
+                        .insert(attempt, answer.events().len() as u64);
                     if answer.end == End::Status(402) {
                         refused.fetch_add(1, Ordering::Relaxed);
                         in_a_row += 1;
@@ -106,8 +125,14 @@
     let delivered = delivered.lock().unwrap();
     let ran: HashSet<String> = record.runs().into_iter().map(|run| run.attempt).collect();
     let input = ran.len() as u64 * INPUT;
-    let output: u64 = delivered.values().map(|events| (events * STRIDE).min(OUTPUT)).sum();
-    let unanswered = ran.iter().filter(|attempt| delivered.get(*attempt) == Some(&0)).count();
+    let output: u64 = delivered
+        .values()
+        .map(|events| (events * STRIDE).min(OUTPUT))
+        .sum();
+    let unanswered = ran
+        .iter()
+        .filter(|attempt| delivered.get(*attempt) == Some(&0))
+        .count();
     let refused = refused.load(Ordering::Relaxed);
     record.say(&format!(
         "prepaid {PREPAID}; {} requests ran, {unanswered} of them without any event for the client: \
@@ -118,5 +143,9 @@
     if refused == 0 {
         return Verdict::CouldNotRun;
     }
-    if input + output > PREPAID { Verdict::Broken } else { Verdict::Held }
+    if input + output > PREPAID {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/stand/record.rs
+++ b/review/stand/record.rs
@@ -27,7 +27,11 @@
         let file = File::create(path).expect("a file for the record");
         Self {
             started: Instant::now(),
-            content: Arc::new(Mutex::new(Content { file, runs: Vec::new(), crashes: Vec::new() })),
+            content: Arc::new(Mutex::new(Content {
+                file,
+                runs: Vec::new(),
+                crashes: Vec::new(),
+            })),
         }
     }
 
@@ -45,7 +49,13 @@
     pub fn run(&self, run: Run) {
         self.line(&format!(
             "worker {} runs {} {} tenant={} prefix={} resume_from={:?} version={}",
-            run.worker, run.attempt, run.target, run.tenant, run.prefix, run.resume_from, run.version
+            run.worker,
+            run.attempt,
+            run.target,
+            run.tenant,
+            run.prefix,
+            run.resume_from,
+            run.version
         ));
         self.content.lock().unwrap().runs.push(run);
     }
--- a/review/stand/starved.rs
+++ b/review/stand/starved.rs
@@ -39,10 +39,16 @@
 pub fn run(stage: &Stage) -> Verdict {
     let record = &stage.record;
     let store = Store::new();
-    store.put("op", "config", Some(&config(7, &[("tenant-a", "key-a", 2_000_000_000)])));
+    store.put(
+        "op",
+        "config",
+        Some(&config(7, &[("tenant-a", "key-a", 2_000_000_000)])),
+    );
     let start = |prefix: &str, service: &str, count: usize| -> Vec<Worker> {
         (1..=count)
-            .map(|number| Worker::start(&format!("{prefix}-{number}"), service, "v1", &store, record))
+            .map(|number| {
+                Worker::start(&format!("{prefix}-{number}"), service, "v1", &store, record)
+            })
             .collect()
     };
     let engines = start("i", "llm", ENGINES);
@@ -55,10 +61,21 @@
     let routers: Vec<Router> = (0..3)
         .map(|index| {
             let zone = ["a", "b", "c"][index];
-            Router::start(index, zone, address, &bounds, &stage.root, &stage.temporary, record)
+            Router::start(
+                index,
+                zone,
+                address,
+                &bounds,
+                &stage.root,
+                &stage.temporary,
+                record,
+            )
         })
         .collect();
-    if !routers.iter().all(|router| router.wait_ready(Duration::from_secs(10))) {
+    if !routers
+        .iter()
+        .all(|router| router.wait_ready(Duration::from_secs(10)))
+    {
         return Verdict::CouldNotRun;
     }
     thread::sleep(Duration::from_secs(4));
@@ -83,7 +100,8 @@
                     open.push(thread::spawn(move || {
                         // All streams share the first part, as requests of one application share
                         // their instructions; 20 subjects, and a last part of the request's own.
-                        let prefix = format!("a1:300,5{:02x}:500,{:x}:200", number % 20, 0x10000 + number);
+                        let prefix =
+                            format!("a1:300,5{:02x}:500,{:x}:200", number % 20, 0x10000 + number);
                         let body = format!("body {number}");
                         let request = Request {
                             path: if is_stream { "/draft/2f" } else { "/order/2f" },
@@ -148,5 +166,9 @@
     if share(orders) < 0.5 || streams.sent < 100 {
         return Verdict::CouldNotRun;
     }
-    if share(streams) < share(all) / 4.0 { Verdict::Broken } else { Verdict::Held }
+    if share(streams) < share(all) / 4.0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/stand/store.rs
+++ b/review/stand/store.rs
@@ -40,7 +40,11 @@
 
 impl Store {
     pub fn new() -> Self {
-        Self { tables: Arc::default(), changed: Arc::default(), started: Instant::now() }
+        Self {
+            tables: Arc::default(),
+            changed: Arc::default(),
+            started: Instant::now(),
+        }
     }
 
     /// Starts to serve on a free port.
@@ -63,7 +67,10 @@
         let mut tables = self.tables.lock().unwrap();
         tables.version += 1;
         let version = tables.version;
-        tables.rows.insert((table.into(), String::new(), key.into()), Row { data, version });
+        tables.rows.insert(
+            (table.into(), String::new(), key.into()),
+            Row { data, version },
+        );
         drop(tables);
         self.changed.notify_all();
     }
@@ -72,7 +79,9 @@
         let _ = stream.set_nodelay(true);
         let mut reader = BufReader::new(&stream);
         while let Ok(Some(head)) = read_head(&mut reader) {
-            let Ok(body) = read_body(&head, &mut reader) else { return };
+            let Ok(body) = read_body(&head, &mut reader) else {
+                return;
+            };
             let (status, text) = self.respond(head.second(), &body);
             let response = format!(
                 "HTTP/1.1 {status} Status\r\nContent-Type: application/json\r\nStore-Era: 1\r\n\
@@ -109,14 +118,18 @@
             "/v1/rows-get" => {
                 thread::sleep(Duration::from_millis(2));
                 let tables = self.tables.lock().unwrap();
-                let (table, part, from, to) = (text("Table"), text("part"), text("From"), text("To"));
-                let rows = tables.rows.iter().filter(|((row_table, row_part, key), row)| {
-                    *row_table == table
-                        && *row_part == part
-                        && *key >= from
-                        && (to.is_empty() || *key < to)
-                        && row.data.is_some()
-                });
+                let (table, part, from, to) =
+                    (text("Table"), text("part"), text("From"), text("To"));
+                let rows = tables
+                    .rows
+                    .iter()
+                    .filter(|((row_table, row_part, key), row)| {
+                        *row_table == table
+                            && *row_part == part
+                            && *key >= from
+                            && (to.is_empty() || *key < to)
+                            && row.data.is_some()
+                    });
                 (200, self.page(rows, tables.version))
             }
             "/v1/rows-feed" => {
@@ -149,7 +162,10 @@
             row.map_or(0, |row| row.version)
         };
         let expected = body.items("Expect");
-        if expected.iter().any(|row| current(&tables, row) != row.number("SchemaVersion")) {
+        if expected
+            .iter()
+            .any(|row| current(&tables, row) != row.number("SchemaVersion"))
+        {
             let keys: Vec<RowKey> = expected.iter().map(key).collect();
             let rows = tables.rows.iter();
             let rows = rows.filter(|(key, row)| keys.contains(key) && row.data.is_some());
@@ -158,16 +174,34 @@
         tables.version += 1;
         let version = tables.version;
         for row in body.items("Write") {
-            tables.rows.insert(key(row), Row { data: Some(row.text("Data")), version });
+            tables.rows.insert(
+                key(row),
+                Row {
+                    data: Some(row.text("Data")),
+                    version,
+                },
+            );
         }
         for row in body.items("Remove") {
             if tables.rows.contains_key(&key(row)) {
-                tables.rows.insert(key(row), Row { data: None, version });
+                tables.rows.insert(
+                    key(row),
+                    Row {
+                        data: None,
+                        version,
+                    },
+                );
             }
         }
         drop(tables);
         self.changed.notify_all();
-        (200, format!("{{\"SchemaVersion\":{version},\"NowMs\":{}}}", self.now_ms()))
+        (
+            200,
+            format!(
+                "{{\"SchemaVersion\":{version},\"NowMs\":{}}}",
+                self.now_ms()
+            ),
+        )
     }
 
     fn page<'a>(&self, rows: impl Iterator<Item = (&'a RowKey, &'a Row)>, version: u64) -> String {
@@ -198,8 +232,13 @@
 fn decode(text: &str) -> String {
     let (bytes, mut decoded, mut at) = (text.as_bytes(), Vec::new(), 0);
     while at < bytes.len() {
-        let hex = bytes.get(at + 1..at + 3).and_then(|digits| std::str::from_utf8(digits).ok());
-        match (bytes[at], hex.and_then(|hex| u8::from_str_radix(hex, 16).ok())) {
+        let hex = bytes
+            .get(at + 1..at + 3)
+            .and_then(|digits| std::str::from_utf8(digits).ok());
+        match (
+            bytes[at],
+            hex.and_then(|hex| u8::from_str_radix(hex, 16).ok()),
+        ) {
             (b'%', Some(byte)) => {
                 decoded.push(byte);
                 at += 3;
--- a/review/stand/stranded.rs
+++ b/review/stand/stranded.rs
@@ -37,7 +37,11 @@
 pub fn run(stage: &Stage) -> Verdict {
     let record = &stage.record;
     let store = Store::new();
-    store.put("op", "config", Some(&config(7, &[("tenant-a", "key-a", PREPAID)])));
+    store.put(
+        "op",
+        "config",
+        Some(&config(7, &[("tenant-a", "key-a", PREPAID)])),
+    );
     let _workers: Vec<Worker> = (1..=3)
         .map(|number| Worker::start(&format!("i-{number}"), "llm", "v1", &store, record))
         .collect();
@@ -46,15 +50,27 @@
     let mut routers: Vec<Router> = (0..3)
         .map(|index| {
             let zone = ["a", "b", "c"][index];
-            Router::start(index, zone, address, &bounds, &stage.root, &stage.temporary, record)
+            Router::start(
+                index,
+                zone,
+                address,
+                &bounds,
+                &stage.root,
+                &stage.temporary,
+                record,
+            )
         })
         .collect();
-    if !routers.iter().all(|router| router.wait_ready(Duration::from_secs(10))) {
+    if !routers
+        .iter()
+        .all(|router| router.wait_ready(Duration::from_secs(10)))
+    {
         return Verdict::CouldNotRun;
     }
     thread::sleep(Duration::from_secs(6));
-    let fronts: Arc<Mutex<Vec<SocketAddr>>> =
-        Arc::new(Mutex::new(routers.iter().map(|router| router.front).collect()));
+    let fronts: Arc<Mutex<Vec<SocketAddr>>> = Arc::new(Mutex::new(
+        routers.iter().map(|router| router.front).collect(),
+    ));
     let running = Arc::new(AtomicBool::new(true));
     // When each request was sent, how it ended, and its events.
     let answers: Arc<Mutex<Vec<(Instant, End, u64)>>> = Arc::default();
@@ -124,7 +140,10 @@
         router.restart();
     }
     let back = Instant::now();
-    if !routers.iter().all(|router| router.wait_ready(Duration::from_secs(10))) {
+    if !routers
+        .iter()
+        .all(|router| router.wait_ready(Duration::from_secs(10)))
+    {
         return Verdict::CouldNotRun;
     }
     *fronts.lock().unwrap() = all;
@@ -133,8 +152,14 @@
     let _ = client.join();
     let answers = answers.lock().unwrap();
     let share = |is_counted: &dyn Fn(Instant) -> bool| {
-        let counted: Vec<_> = answers.iter().filter(|(sent, _, _)| is_counted(*sent)).collect();
-        let served = counted.iter().filter(|(_, end, _)| *end == End::Status(200)).count();
+        let counted: Vec<_> = answers
+            .iter()
+            .filter(|(sent, _, _)| is_counted(*sent))
+            .collect();
+        let served = counted
+            .iter()
+            .filter(|(_, end, _)| *end == End::Status(200))
+            .count();
         (served, counted.len())
     };
     let before = share(&|sent| sent < final_fault);
@@ -146,7 +171,10 @@
         }
     }
     let runs = record.runs().len() as u64;
-    let output: u64 = answers.iter().map(|(_, _, events)| (events * STRIDE).min(OUTPUT)).sum();
+    let output: u64 = answers
+        .iter()
+        .map(|(_, _, events)| (events * STRIDE).min(OUTPUT))
+        .sum();
     let used = runs * INPUT + output;
     record.say(&format!(
         "before the final fault {} of {} requests were served; later than {RECOVER:?} after all were \
@@ -156,5 +184,9 @@
     if before.0 * 4 < before.1 || after.1 < 20 {
         return Verdict::CouldNotRun;
     }
-    if after.0 * 4 < after.1 { Verdict::Broken } else { Verdict::Held }
+    if after.0 * 4 < after.1 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/stand/worker.rs
+++ b/review/stand/worker.rs
@@ -138,7 +138,9 @@
         let epoch = {
             let mut state = self.state.lock().unwrap();
             state.epoch += 1;
-            let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock");
+            let now = SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .expect("a clock");
             state.started_ms = now.as_millis();
             state.epoch
         };
@@ -221,12 +223,16 @@
             }
             state.next_connection += 1;
             let number = state.next_connection;
-            state.connections.insert(number, stream.try_clone().expect("a handle"));
+            state
+                .connections
+                .insert(number, stream.try_clone().expect("a handle"));
             number
         };
         let mut reader = BufReader::new(&stream);
         while let Ok(Some(head)) = read_head(&mut reader) {
-            let Ok(_body) = read_body(&head, &mut reader) else { break };
+            let Ok(_body) = read_body(&head, &mut reader) else {
+                break;
+            };
             if !self.answer(&head, &stream, epoch) {
                 break;
             }
@@ -247,7 +253,12 @@
             return stream.write_all(text.as_bytes()).is_ok();
         }
         let mut counts = head.get("token-count").split(',');
-        let mut count = || counts.next().and_then(|count| count.trim().parse().ok()).unwrap_or(0);
+        let mut count = || {
+            counts
+                .next()
+                .and_then(|count| count.trim().parse().ok())
+                .unwrap_or(0)
+        };
         let (input_tokens, output_tokens): (u64, u64) = (count(), count());
         let (behavior, version, run) = {
             let mut state = self.state.lock().unwrap();
@@ -299,7 +310,9 @@
         }
         let is_deadly = behavior.deadly_part.as_ref().is_some_and(|deadly| {
             let parts = head.get("prompt-prefix").split(',');
-            parts.filter_map(|part| part.split(':').next()).any(|id| id == deadly)
+            parts
+                .filter_map(|part| part.split(':').next())
+                .any(|id| id == deadly)
         });
         if is_deadly {
             let _ = stream.write_all(b"8\r\nid: 1\nda\r\n");
