--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeSet, HashMap, HashSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -166,7 +166,8 @@
         }
         set.version = set.version.max(update.version);
         let missing: Vec<EndpointId> = {
-            let listed: Vec<&EndpointId> = update.changes.iter().map(|change| &change.id).collect();
+            let listed: HashSet<&EndpointId> =
+                update.changes.iter().map(|change| &change.id).collect();
             let members = set.members.keys();
             members.filter(|id| !listed.contains(id)).cloned().collect()
         };
@@ -215,6 +216,11 @@
         self.replace_endpoints(EndpointUpdate { changes, version }, now);
     }
 
+    /// Number of known registrations.
+    pub fn endpoint_count(&self) -> usize {
+        self.lock_endpoints().members.len()
+    }
+
     /// Number that grows with each change of a registration.
     pub fn registration_change(&self) -> u64 {
         self.lock_endpoints().change
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -3,11 +3,12 @@
     time::{Duration, Instant},
 };
 
-use jasminewall_ports::{Category, Result};
+use jasminewall_ports::{Category, Result, RowPort};
 
 use crate::{
     fleet::FleetView,
     port::{ConfigUpdate, EndpointUpdate, RecordPort},
+    snapshot,
 };
 
 /// Longest time that a watch waits at the store. A dead connection is noticed only when the watch
@@ -48,13 +49,17 @@
 pub(crate) async fn follow_endpoints(
     view: Arc<FleetView>,
     port: Arc<dyn RecordPort>,
+    rows: Arc<dyn RowPort>,
     drain: Duration,
 ) {
     let mut since_version = None;
     loop {
         let read_all = since_version.is_none();
         let outcome = match since_version {
-            None => port.read_endpoints().await,
+            None => match snapshot::load(rows.as_ref(), port.as_ref()).await {
+                Some(update) => Ok(update),
+                None => port.read_endpoints().await,
+            },
             Some(since) => {
                 port.watch_endpoints(since, Instant::now() + WATCH_TIMEOUT)
                     .await
--- a/crates/forward/src/group.rs
+++ b/crates/forward/src/group.rs
@@ -99,6 +99,8 @@
 const LOAD_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of peers to which a stopping router tries to hand its tokens.
 const DEPOSIT_PEERS: usize = 3;
+/// Seed of the hash that orders the routers that publish snapshots.
+const PUBLISHER_SEED: u64 = 1;
 /// Time for which an unresponsive peer is not called again.
 const UNRESPONSIVE_PAUSE: Duration = Duration::from_secs(2);
 
@@ -359,6 +361,21 @@
             .collect()
     }
 
+    /// Position of this router among those that may publish snapshots of the registrations, by
+    /// rendezvous hashing over the routers that may own grants; `None` in a small fleet and for the
+    /// other routers.
+    pub(crate) fn publisher_rank(&self) -> Option<usize> {
+        let table = self.table();
+        if table.is_small() {
+            return None;
+        }
+        let rank = |vm: &VmId| (xxh3_64_with_seed(vm.as_bytes(), PUBLISHER_SEED), vm.clone());
+        let own = rank(&self.vm);
+        let mut vms = table.owner_pools.values().flatten();
+        vms.clone().find(|vm| **vm == self.vm)?;
+        Some(vms.by_ref().filter(|vm| rank(vm) > own).count())
+    }
+
     /// Number of routers that own grants of one customer.
     fn owner_count(&self) -> usize {
         let table = self.table();
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod retry;
 pub mod session;
 pub mod setting;
+pub mod snapshot;
 mod sse;
 mod stream;
 mod trial;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -23,6 +23,7 @@
     peer::{self, PeerRecord},
     port::{EndpointPort, RecordPort},
     setting::{FleetBounds, ForwardSetting},
+    snapshot,
 };
 
 /// Time that the last writes to the store get when the router stops, even if the exit is due
@@ -111,10 +112,18 @@
             spawn(follow::follow_config(view.clone(), ports.records.clone())).abort_handle(),
             spawn(follow::follow_endpoints(
                 view.clone(),
-                ports.records,
+                ports.records.clone(),
+                ports.rows.clone(),
                 setting.bounds.drain,
             ))
             .abort_handle(),
+            spawn(snapshot::publish(
+                peers.clone(),
+                view.clone(),
+                ports.rows,
+                ports.records,
+            ))
+            .abort_handle(),
             spawn(group::follow_peers(
                 peers.clone(),
                 budgets.clone(),
