Keep requests from evacuated domains and other regions, and bound those to cold endpoints

Cause: the operator can evacuate a failure domain and restrict routes and customers to regions, and endpoints that are cold crash well above a rate that their service states. Routers knew none of this.

Change: the operator's rows evacuate/ZONE become a set with its store version in FleetView, which never goes back within a run, holds over a restore of the store, and is passed on in FleetUpdate. eligible.rs filters the endpoints of each send. warmup.rs decides until when an endpoint is cold, and lets four routers by rendezvous hashing send to it at fixed intervals, so that the bound also holds with twice as many senders. The region of each failure domain is in the section [regions].

--- a/crates/forward/src/allowance.rs
+++ b/crates/forward/src/allowance.rs
@@ -12,7 +12,7 @@
     xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
 };
 
-use crate::{port::EndpointSignals, record::EndpointRecord};
+use crate::{port::EndpointSignals, record::EndpointRecord, warmup::WarmupTable};
 
 /// Number of routers that share the rate limit of an endpoint in a large fleet. With a share of
 /// their own for each endpoint, most routers would have no fitting request while a send is due.
@@ -104,6 +104,7 @@
 #[derive(Debug)]
 pub struct AllowanceTable {
     sharing: LimitSharing,
+    warmup: WarmupTable,
     runs: HashMap<EndpointId, EndpointAllowance>,
 }
 
@@ -198,6 +199,7 @@
     pub fn new() -> Self {
         Self {
             sharing: LimitSharing::Demand(1.0),
+            warmup: WarmupTable::default(),
             runs: HashMap::new(),
         }
     }
@@ -218,6 +220,11 @@
         }
     }
 
+    /// Sends of this router to cold endpoints.
+    pub fn warmup(&mut self) -> &mut WarmupTable {
+        &mut self.warmup
+    }
+
     /// Whether any endpoint limits its rate.
     pub fn has_limits(&self) -> bool {
         self.runs.values().any(|run| run.rate.is_some())
@@ -297,8 +304,21 @@
         })
     }
 
-    /// Whether a request may be sent to an endpoint now.
+    /// Whether a request may be sent to an endpoint now: both the endpoint's own wishes and its
+    /// warm-up must allow it.
     pub fn permit(&self, record: &EndpointRecord, now: Instant) -> SendPermit {
+        match (self.asked(record, now), self.warmup.permit(record, now)) {
+            (SendPermit::DeniedUntil(one), SendPermit::DeniedUntil(other)) => {
+                SendPermit::DeniedUntil(one.max(other))
+            }
+            (SendPermit::Denied, _) => SendPermit::Denied,
+            (_, denied @ SendPermit::DeniedUntil(_)) => denied,
+            (asked, _) => asked,
+        }
+    }
+
+    /// What the endpoint itself asks for.
+    fn asked(&self, record: &EndpointRecord, now: Instant) -> SendPermit {
         let run = self.runs.get(&record.id);
         let Some(run) = run.filter(|run| run.started_ms == record.started_ms) else {
             return SendPermit::Allowed;
@@ -316,14 +336,18 @@
         }
     }
 
-    /// Whether an endpoint limits its rate.
+    /// Whether an endpoint limits its rate or is cold.
     pub fn is_limited(&self, record: &EndpointRecord) -> bool {
+        if record.cold.is_some() {
+            return true;
+        }
         let run = self.runs.get(&record.id);
         run.is_some_and(|run| run.started_ms == record.started_ms && run.rate.is_some())
     }
 
     /// Counts a request that is sent to an endpoint.
     pub fn take(&mut self, record: &EndpointRecord, now: Instant) {
+        self.warmup.take(record, now);
         if let Some(run) = self.runs.get_mut(&record.id)
             && run.started_ms == record.started_ms
             && let Some(rate) = &mut run.rate
@@ -334,6 +358,7 @@
 
     /// Forgets runs that were not heard of for long.
     pub fn expire(&mut self, now: Instant) {
+        self.warmup.expire(now);
         self.runs.retain(|_, run| {
             let is_paused = run.paused_until.is_some_and(|until| until > now);
             is_paused || now.saturating_duration_since(run.heard) < FORGET_AFTER
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     balancer::InFlight,
+    eligible::RegionRule,
     forwarder::{Forwarder, RESPONSE_GRACE},
     manager::BudgetHold,
     port::{EndpointResponse, SendCount},
@@ -25,6 +26,8 @@
     pub(crate) route: RouteRule,
     pub(crate) service: ServiceId,
     pub(crate) customer: Option<CustomerId>,
+    /// Regions whose endpoints may get the request.
+    pub(crate) regions: RegionRule,
     pub(crate) deadline: Instant,
     /// Tokens charged for each event of a stream.
     pub(crate) event_tokens: Tokens,
--- a/crates/forward/src/balancer.rs
+++ b/crates/forward/src/balancer.rs
@@ -376,7 +376,9 @@
         let mut usable: Vec<&EndpointRecord> = selected
             .filter(|record| is_usable(record, SendPermit::Allowed))
             .collect();
-        if records.len() > COMPARE_ALL_MAX && self.allowances.has_limits() {
+        let has_limits =
+            self.allowances.has_limits() || records.iter().any(|record| record.cold.is_some());
+        if records.len() > COMPARE_ALL_MAX && has_limits {
             // A send that is due and not used is lost.
             let due = records.iter().filter(|record| {
                 self.allowances.is_limited(record) && is_usable(record, SendPermit::Allowed)
@@ -480,6 +482,7 @@
     /// Sets the VMs of this router and of the others, which share the rate limits of endpoints.
     pub fn set_routers(&mut self, own: VmId, others: Vec<VmId>, now: Instant) {
         self.routers = others.len() + 1;
+        self.allowances.warmup().set_routers(&own, &others, now);
         let sharing = if self.knows_all_loads() {
             self.demand_share = 1.0 / self.routers as f64;
             LimitSharing::Demand(self.demand_share)
@@ -489,6 +492,11 @@
         self.allowances.set_sharing(sharing, now);
     }
 
+    /// Sets the bound on requests to cold endpoints.
+    pub fn set_cold_bound(&mut self, overrun: f64, slack: f64) {
+        self.allowances.warmup().set_bound(overrun, slack);
+    }
+
     /// Whether the other routers send their loads to this one.
     fn knows_all_loads(&self) -> bool {
         self.routers <= NEIGHBOUR_LIMIT
--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -5,13 +5,19 @@
 };
 
 use {
-    jasminewall_core::EndpointId,
+    jasminewall_core::{DomainId, EndpointId},
     jasminewall_ports::{StoreEra, era_of},
 };
 
 use crate::{
-    port::{EndpointChange, EndpointUpdate},
-    record::{EndpointRecord, EndpointState, FleetConfig, ServiceId, SoftwareVersion},
+    eligible::{EndpointFilter, RegionRule},
+    evacuation::{EvacuationDiff, EvacuationReport, EvacuationTable},
+    port::{ConfigUpdate, EndpointChange, EndpointUpdate},
+    record::{
+        EndpointRecord, EndpointState, FleetConfig, RegionId, ServiceId, ServiceRule,
+        SoftwareVersion,
+    },
+    warmup::ColdClock,
 };
 
 /// Time that live endpoints need to register again after an outage of the store. The operators
@@ -20,17 +26,19 @@
 
 /// Time after a restore of the store within which live endpoints have registered again, and the
 /// registrations of others have lapsed.
-const OUTDATED_WINDOW: Duration = Duration::from_secs(10);
+pub(crate) const OUTDATED_WINDOW: Duration = Duration::from_secs(10);
 /// Time for which endpoints that left are remembered. A copy of the store from before may bring their
 /// registrations back.
 const GONE_TTL: Duration = Duration::from_secs(60);
 
 /// Configuration and endpoints known to this router.
 ///
-/// Lock order: `config`, then `endpoints`.
+/// Lock order: `config`, then `evacuations`, then `endpoints`.
 #[derive(Default)]
 pub struct FleetView {
     config: Mutex<Option<Arc<FleetConfig>>>,
+    evacuations: Mutex<EvacuationTable>,
+    filter: EndpointFilter,
     endpoints: Mutex<EndpointSet>,
 }
 
@@ -68,6 +76,8 @@
 
 struct EndpointMember {
     record: EndpointRecord,
+    /// Until when it counts as cold.
+    cold: ColdClock,
     /// Set while the registration is missing from the store because of an outage: when it is
     /// dropped, unless the endpoint registers again.
     drop_at: Option<Instant>,
@@ -83,6 +93,14 @@
 }
 
 impl FleetView {
+    /// Creates a view without any state; `regions` gives the region of each failure domain.
+    pub fn new(regions: HashMap<DomainId, RegionId>) -> Self {
+        Self {
+            filter: EndpointFilter::new(regions),
+            ..Self::default()
+        }
+    }
+
     /// Configuration in force.
     pub fn config(&self) -> Option<Arc<FleetConfig>> {
         self.lock_config().clone()
@@ -116,9 +134,128 @@
             "configuration in force"
         );
         *current = Some(Arc::new(config));
+        // The lists say which endpoints are cold by the rules of the services.
+        self.lock_endpoints().ready.clear();
         true
     }
 
+    /// Failure domains that no request may be sent to.
+    pub fn evacuated(&self) -> Arc<BTreeSet<DomainId>> {
+        self.lock_evacuations().current()
+    }
+
+    /// Evacuations for other routers; `None` if none were read yet.
+    pub fn evacuation_report(&self) -> Option<EvacuationReport> {
+        self.lock_evacuations().report()
+    }
+
+    /// Whether the operator's table must be read again as a whole.
+    pub fn needs_operator_read(&self, now: Instant) -> bool {
+        self.lock_evacuations().needs_read(now)
+    }
+
+    /// Applies the evacuations of a read or a watch of the operator's table.
+    pub fn update_evacuations(&self, update: &ConfigUpdate, now: Instant) {
+        let changes = update.evacuations.clone();
+        let mut table = self.lock_evacuations();
+        let diff = if update.is_complete {
+            let rows = changes.into_iter().filter(|change| change.is_evacuated);
+            let rows = rows.map(|change| (change.domain, change.version));
+            table.replace(update.version, rows.collect(), now)
+        } else {
+            table.apply(update.version, changes)
+        };
+        drop(table);
+        self.note_evacuations(&diff, "store", now);
+    }
+
+    /// Merges the evacuations that another router knows.
+    pub fn merge_evacuations(&self, report: EvacuationReport, now: Instant) {
+        let diff = self.lock_evacuations().merge(report, now);
+        self.note_evacuations(&diff, "peer", now);
+    }
+
+    fn note_evacuations(&self, diff: &EvacuationDiff, source: &str, now: Instant) {
+        let records = self.live_endpoints(now);
+        for domain in &diff.begun {
+            let endpoints = records.iter().filter(|record| record.domain == *domain);
+            let endpoints = endpoints.count();
+            if endpoints == 0 {
+                tracing::warn!(%domain, source, "a failure domain without a known endpoint is evacuated");
+            } else {
+                tracing::info!(%domain, source, endpoints, "the failure domain is evacuated");
+            }
+        }
+        for domain in &diff.revoked {
+            let cold = self.revoke_cold(domain, now);
+            tracing::info!(%domain, source, cold, "the evacuation of the failure domain is revoked");
+        }
+    }
+
+    /// Counts the endpoints of a failure domain as cold that was evacuated until now: they may have
+    /// become cold meanwhile. Returns their number.
+    fn revoke_cold(&self, domain: &DomainId, now: Instant) -> usize {
+        let Some(config) = self.config() else {
+            return 0;
+        };
+        let mut set = self.lock_endpoints();
+        let mut count = 0;
+        for member in set.members.values_mut() {
+            let rule = config.services.get(&member.record.service);
+            let rule = rule.filter(|rule| rule.warmup_per_s.is_some());
+            if let Some(rule) = rule.filter(|_| member.record.domain == *domain) {
+                member.cold.revoke(rule, now);
+                count += 1;
+            }
+        }
+        set.ready.clear();
+        count
+    }
+
+    /// Records that a run of an endpoint crashed or refused a connection.
+    pub fn suspect_cold(&self, endpoint: &EndpointId, started_ms: u64, now: Instant) {
+        self.change_cold(endpoint, started_ms, "seen failing", |cold| {
+            cold.suspect(now);
+        });
+    }
+
+    /// Records the remaining cold time that a response of an endpoint run gives.
+    pub fn extend_cold(
+        &self,
+        endpoint: &EndpointId,
+        started_ms: u64,
+        remaining: Duration,
+        now: Instant,
+    ) {
+        self.change_cold(endpoint, started_ms, "response", |cold| {
+            cold.extend(remaining, now);
+        });
+    }
+
+    fn change_cold(
+        &self,
+        endpoint: &EndpointId,
+        started_ms: u64,
+        source: &str,
+        change: impl FnOnce(&mut ColdClock),
+    ) {
+        let config = self.config();
+        let mut set = self.lock_endpoints();
+        let member = set.members.get_mut(endpoint);
+        let Some(member) = member.filter(|member| member.record.started_ms == started_ms) else {
+            return;
+        };
+        let rule = config
+            .as_ref()
+            .and_then(|config| config.services.get(&member.record.service));
+        if rule.is_none_or(|rule| rule.warmup_per_s.is_none()) {
+            return;
+        }
+        change(&mut member.cold);
+        tracing::info!(%endpoint, source, cold = ?member.cold, "the endpoint counts as cold");
+        set.ready.clear();
+    }
+
     /// Whether requests can be served: the configuration and the endpoints are known.
     pub fn is_ready(&self) -> bool {
         self.config().is_some() && self.lock_endpoints().is_loaded
@@ -238,11 +375,16 @@
 
     /// Endpoints of a service that accept new requests.
     pub fn ready_endpoints(&self, service: &ServiceId, now: Instant) -> Arc<Vec<EndpointRecord>> {
-        let mut set = self.lock_endpoints();
+        let set = self.lock_endpoints();
         let cached = set.ready.get(service);
         if let Some(list) = cached.filter(|list| list.valid_until.is_none_or(|until| now < until)) {
             return list.records.clone();
         }
+        drop(set);
+        let config = self.config();
+        let services = config.as_ref().map(|config| &config.services);
+        let rule = services.and_then(|services| services.get(service));
+        let mut set = self.lock_endpoints();
         let members = set.members.values().filter(|member| {
             member.record.service == *service
                 && member.record.state == EndpointState::Ready
@@ -250,7 +392,7 @@
         });
         let members: Vec<&EndpointMember> = members.collect();
         let valid_until = members.iter().filter_map(|member| member.drop_at).min();
-        let records = members.iter().map(|member| member.record.clone());
+        let records = members.iter().map(|member| member.listed(rule, now));
         let records = Arc::new(records.collect::<Vec<_>>());
         let list = ReadyList {
             records: records.clone(),
@@ -260,10 +402,33 @@
         records
     }
 
+    /// Ready endpoints of a service that a request with a region rule may be sent to.
+    pub fn eligible_endpoints(
+        &self,
+        service: &ServiceId,
+        regions: &RegionRule,
+        now: Instant,
+    ) -> Arc<Vec<EndpointRecord>> {
+        let records = self.ready_endpoints(service, now);
+        self.filter
+            .filter(service, records, self.evacuated(), regions)
+    }
+
+    /// Logs the regions of a new configuration that no failure domain has.
+    pub(crate) fn check_regions(&self, config: &FleetConfig) {
+        self.filter.check_regions(config);
+    }
+
     fn lock_config(&self) -> MutexGuard<'_, Option<Arc<FleetConfig>>> {
         self.config.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn lock_evacuations(&self) -> MutexGuard<'_, EvacuationTable> {
+        self.evacuations
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_endpoints(&self) -> MutexGuard<'_, EndpointSet> {
         self.endpoints
             .lock()
@@ -272,6 +437,14 @@
 }
 
 impl EndpointMember {
+    /// Registration with the state of its warm-up.
+    fn listed(&self, rule: Option<&ServiceRule>, now: Instant) -> EndpointRecord {
+        EndpointRecord {
+            cold: rule.and_then(|rule| self.cold.phase(rule, now)),
+            ..self.record.clone()
+        }
+    }
+
     fn is_live(&self, now: Instant) -> bool {
         self.drop_at.is_none_or(|drop_at| now < drop_at)
     }
@@ -298,6 +471,7 @@
                 let sequence = record.sequence;
                 EndpointRecord {
                     sequence,
+                    cold_remaining: record.cold_remaining,
                     ..before.clone()
                 } == record
             });
@@ -308,8 +482,29 @@
                 );
                 self.note_change();
             }
+            let known = self.members.get(&id);
+            let is_later = known.is_none_or(|known| {
+                let EndpointRecord {
+                    started_ms,
+                    sequence,
+                    ..
+                } = known.record;
+                record.sequence == 0
+                    || started_ms != record.started_ms
+                    || record.sequence > sequence
+            });
+            let mut cold = known.map_or_else(ColdClock::default, |known| known.cold);
+            let before = cold;
+            cold.register(record.cold_remaining, is_later, now);
+            if cold != before {
+                self.ready.clear();
+                if before == ColdClock::default() {
+                    tracing::info!(endpoint = %id, remaining_ms = record.cold_remaining.as_millis() as u64, "the endpoint registered as cold");
+                }
+            }
             let member = EndpointMember {
                 record,
+                cold,
                 drop_at: None,
             };
             self.members.insert(id, member);
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -25,6 +25,9 @@
 pub(crate) async fn follow_config(view: Arc<FleetView>, port: Arc<dyn RecordPort>) {
     let mut since_version = None;
     loop {
+        if view.needs_operator_read(Instant::now()) {
+            since_version = None;
+        }
         let outcome = match since_version {
             None => port.read_config().await,
             Some(since) => {
@@ -33,9 +36,14 @@
             }
         };
         let update = handle_outcome(&view, outcome, &mut since_version, "configuration").await;
-        let Some(ConfigUpdate { config, version }) = update else {
+        let Some(update) = update else {
             continue;
         };
+        // The router becomes ready with the configuration, so the evacuations come first.
+        view.update_evacuations(&update, Instant::now());
+        let ConfigUpdate {
+            config, version, ..
+        } = update;
         since_version = Some(version);
         if let Some(config) = config {
             view.install(config, "store");
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -59,7 +59,7 @@
 
 /// Admits requests, sends them to endpoints and relays the responses.
 pub struct Forwarder {
-    view: Arc<FleetView>,
+    pub(crate) view: Arc<FleetView>,
     budgets: Arc<BudgetManager>,
     endpoints: Arc<dyn EndpointPort>,
     balancer: Mutex<LoadBalancer>,
@@ -98,11 +98,13 @@
         rows: Arc<dyn RowPort>,
         bounds: FleetBounds,
     ) -> Arc<Self> {
+        let mut balancer = LoadBalancer::new(domain);
+        balancer.set_cold_bound(bounds.cold_overrun, bounds.cold_slack);
         Arc::new(Self {
             view,
             budgets,
             endpoints,
-            balancer: Mutex::new(LoadBalancer::new(domain)),
+            balancer: Mutex::new(balancer),
             retry_budgets: Mutex::default(),
             bounds: Mutex::new(bounds),
             routers: AtomicUsize::new(1),
@@ -128,6 +130,8 @@
     /// Applies changed settings.
     pub fn set_bounds(&self, bounds: FleetBounds) {
         *self.bounds.lock().unwrap_or_else(PoisonError::into_inner) = bounds;
+        self.balancer()
+            .set_cold_bound(bounds.cold_overrun, bounds.cold_slack);
         self.retry_budgets().clear();
     }
 
@@ -269,6 +273,7 @@
             return Err(Self::refuse_blocked(&request.id, block));
         }
         let engine = config.services.get(service).and_then(|rule| rule.engine);
+        let regions = self.check_eligible(&config, &route, customer.as_ref(), service)?;
         tracing::info!(
             request = %request.id, route = %route.name, service = %service, version = config.version,
             customer = customer.as_ref().map(|customer| customer.name.as_str()),
@@ -301,6 +306,7 @@
         Ok(AdmittedRequest {
             service: service.clone(),
             customer: customer.map(|customer| customer.name),
+            regions,
             deadline,
             event_tokens: engine.map_or(1, |rule| rule.event_tokens.max(1)),
             hold,
@@ -399,6 +405,8 @@
                 Ok(Err(CallError::NotSent(reason))) => {
                     tracing::info!(request = %id, %endpoint, %reason, "the endpoint could not be connected");
                     self.balancer().block(&endpoint, Instant::now());
+                    self.view
+                        .suspect_cold(&endpoint, guard.in_flight.started_ms(), Instant::now());
                     drop(guard);
                     admitted.sends -= 1;
                     admitted.failed_connects += 1;
@@ -443,6 +451,8 @@
             return;
         }
         let endpoint = in_flight.endpoint();
+        self.view
+            .suspect_cold(endpoint, in_flight.started_ms(), Instant::now());
         let crash = suspect::crash_id(endpoint, in_flight.started_ms());
         tracing::warn!(%endpoint, crash, ?suspects, "the endpoint crashed with the request open");
         let notice = FleetNotice {
@@ -571,7 +581,8 @@
     /// of several routers, name the endpoints.
     fn log_blocks(&self, table: &mut SuspectTable, service: &ServiceId) {
         for block in table.take_blocks() {
-            let ready = self.view.ready_endpoints(service, Instant::now()).len();
+            let ready = self.view.eligible_endpoints(service, &None, Instant::now());
+            let ready = ready.len();
             tracing::warn!(
                 culprit = ?block.suspect, events = block.events, crashes = ?block.crashes,
                 completed_before = ?block.completed_before, %service, ready,
@@ -612,7 +623,9 @@
         if now >= admitted.deadline {
             return Err(refusal_of(admitted, RefusalKind::DeadlinePassed));
         }
-        let mut records = self.view.ready_endpoints(&admitted.service, now);
+        let mut records = self
+            .view
+            .eligible_endpoints(&admitted.service, &admitted.regions, now);
         if let Some(software) = &admitted.begun_at {
             let fitting = records.iter().filter(|record| admitted.fits(record));
             records = Arc::new(fitting.cloned().collect());
@@ -651,6 +664,9 @@
             self.with_retry_budget(&admitted.service, |budget| budget.deposit(now));
         }
         admitted.sends += 1;
+        if placement.record.cold.is_some() {
+            self.metrics.cold_send();
+        }
         tracing::info!(
             request = %admitted.request.id, endpoint = %placement.record.id, software = %placement.record.software, cost_ms = placement.cost_ms as u64,
             runner_up = ?placement.runner_up.as_ref().map(|(id, _)| id.as_str()),
@@ -680,6 +696,11 @@
         };
         let drain = self.bounds().drain;
         let now = Instant::now();
+        if let Some(cold_for) = signals.cold_for {
+            let run = &guard.in_flight;
+            self.view
+                .extend_cold(run.endpoint(), run.started_ms(), cold_for, now);
+        }
         let report =
             self.balancer()
                 .record_signals(&guard.in_flight, signals, drain, now, &mut rand::rng());
@@ -714,7 +735,10 @@
 
     /// Whether the service of a request has a ready endpoint that was not tried.
     pub(crate) fn has_untried_endpoint(&self, admitted: &AdmittedRequest) -> bool {
-        let records = self.view.ready_endpoints(&admitted.service, Instant::now());
+        let (service, regions) = (&admitted.service, &admitted.regions);
+        let records = self
+            .view
+            .eligible_endpoints(service, regions, Instant::now());
         let mut records = records.iter();
         records.any(|record| admitted.fits(record) && !admitted.excluded.contains(&record.id))
     }
--- a/crates/forward/src/group.rs
+++ b/crates/forward/src/group.rs
@@ -512,6 +512,10 @@
             let call = client.updates(peer_context(), view.config_version(), known);
             match timeout(PEER_TIMEOUT, call).await {
                 Ok(Ok(updates)) => {
+                    // The router becomes ready with the rest, so the evacuations come first.
+                    if let Some(report) = updates.evacuations {
+                        view.merge_evacuations(report, Instant::now());
+                    }
                     if let Some(config) = updates.config {
                         view.install(config, "peer");
                     }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -21,6 +21,8 @@
 mod budget;
 mod buffered;
 pub mod draws;
+pub mod eligible;
+pub mod evacuation;
 mod fleet;
 mod follow;
 mod forwarder;
@@ -41,6 +43,7 @@
 mod sse;
 mod stream;
 mod trial;
+pub mod warmup;
 
 pub use crate::{
     balancer::{LoadBalancer, Placement, PlacementQuery, RouterLoad},
--- a/crates/forward/src/metric.rs
+++ b/crates/forward/src/metric.rs
@@ -20,6 +20,8 @@
     "refusals",
     "endpoint_rejections",
     "endpoint_losses",
+    "restricted_requests",
+    "cold_sends",
     "answer_ms",
     "first_event_ms",
 ];
@@ -133,6 +135,9 @@
     fn default() -> Self {
         let totals = Arc::new(Mutex::new(MetricTotals::default()));
         let client = StatsdClient::from_sink(PREFIX, TotalSink(totals.clone()));
+        // Shows that nothing was restricted so far, rather than that nothing is counted.
+        let _ = client.count("restricted_requests", 0);
+        let _ = client.count("cold_sends", 0);
         Self {
             client: Arc::new(client),
             totals,
@@ -182,4 +187,14 @@
     pub(crate) fn lost(&self) {
         let _ = self.client.count("endpoint_losses", 1);
     }
+
+    /// Counts a request that evacuated failure domains or regions keep from some endpoints.
+    pub(crate) fn restricted(&self) {
+        let _ = self.client.count("restricted_requests", 1);
+    }
+
+    /// Counts a request that is sent to a cold endpoint.
+    pub(crate) fn cold_send(&self) {
+        let _ = self.client.count("cold_sends", 1);
+    }
 }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -72,7 +72,7 @@
             domain: setting.failure_domain.clone(),
             link_mbps: setting.link_mbps.unwrap_or_default() as u32,
         };
-        let view = Arc::new(FleetView::default());
+        let view = Arc::new(FleetView::new(setting.regions.clone()));
         let peers = PeerGroup::new(setting.vm.clone(), record, ports.rows.clone());
         let origins = Arc::new(StreamOrigins::new(ports.rows.clone()));
         let budgets = BudgetManager::new(holder, ports.rows.clone(), peers.clone());
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -21,6 +21,7 @@
 use crate::{
     balancer::RouterLoad,
     draws::{DrawRecord, DrawReport},
+    evacuation::EvacuationReport,
     fleet::FleetView,
     forwarder::Forwarder,
     manager::BudgetManager,
@@ -69,6 +70,9 @@
     pub config: Option<FleetConfig>,
     /// Newer registrations with their store version.
     pub endpoints: Option<(u64, Vec<EndpointRecord>)>,
+    /// Evacuated failure domains; `None` if this router has not read them yet.
+    #[serde(default)]
+    pub evacuations: Option<EvacuationReport>,
 }
 
 /// RPC service that each router offers to the others.
@@ -111,6 +115,7 @@
         FleetUpdate {
             config: config.map(|config| FleetConfig::clone(&config)),
             endpoints: newer.then(|| (version, self.view.live_endpoints(Instant::now()))),
+            evacuations: self.view.evacuation_report(),
         }
     }
 
--- a/crates/forward/src/port.rs
+++ b/crates/forward/src/port.rs
@@ -6,7 +6,7 @@
     net::SocketAddr,
     pin::Pin,
     sync::atomic::{AtomicU32, Ordering},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use {
@@ -19,6 +19,7 @@
 };
 
 use crate::{
+    evacuation::EvacuationChange,
     record::{EndpointRecord, FleetConfig},
     request::ForwardRequest,
 };
@@ -98,6 +99,8 @@
     pub is_leaving: bool,
     /// When this router may send requests again, if the endpoint rejected one for now.
     pub retry_at: Option<Instant>,
+    /// Time for which the endpoint is still cold, if it says so.
+    pub cold_for: Option<Duration>,
 }
 
 /// Why a call failed.
@@ -164,11 +167,15 @@
     fn probe(&self, address: SocketAddr) -> Pin<Box<dyn Future<Output = PortState> + Send + '_>>;
 }
 
-/// Newest configuration with the store version at which it was read.
+/// Newest configuration and evacuations with the store version at which they were read.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigUpdate {
     /// Configuration; `None` if there is none or nothing changed.
     pub config: Option<FleetConfig>,
+    /// All evacuated failure domains after a read, the changes in their order after a watch.
+    pub evacuations: Vec<EvacuationChange>,
+    /// Whether the update is the result of a full read.
+    pub is_complete: bool,
     /// Store version from which a watch continues.
     pub version: u64,
 }
--- a/crates/forward/src/record.rs
+++ b/crates/forward/src/record.rs
@@ -9,11 +9,16 @@
     smol_str::SmolStr,
 };
 
+use crate::warmup::ColdPhase;
+
 /// Name of a group of interchangeable endpoints.
 pub type ServiceId = SmolStr;
 /// Version of an endpoint's software; empty if unknown.
 pub type SoftwareVersion = SmolStr;
 
+/// Name of a region, which has one or several failure domains.
+pub type RegionId = SmolStr;
+
 /// Which requests of a route may be sent again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RetryPolicy {
@@ -64,6 +69,8 @@
     pub priority: u8,
     /// Whether requests need no key.
     pub anonymous: bool,
+    /// Regions whose endpoints may get requests; empty for all.
+    pub allowed_regions: Vec<RegionId>,
 }
 
 impl RouteRule {
@@ -97,10 +104,15 @@
 }
 
 /// Group of interchangeable endpoints.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ServiceRule {
     /// Settings of the engines; `None` if the endpoints are not model engines.
     pub engine: Option<EngineRule>,
+    /// Time for which an endpoint is cold after its start.
+    pub cold_start: Duration,
+    /// Requests a second that a cold endpoint can take from all routers together; `None` for no
+    /// limit.
+    pub warmup_per_s: Option<f64>,
 }
 
 /// Settings of a customer.
@@ -112,6 +124,8 @@
     pub priority: Option<u8>,
     /// Tokens that the customer may consume in total; `None` for no limit.
     pub prepaid: Option<Tokens>,
+    /// Regions whose endpoints may get requests; empty for all.
+    pub allowed_regions: Vec<RegionId>,
 }
 
 /// Limits on what callers may send.
@@ -209,6 +223,13 @@
         streams.map(|route| route.timeout).max().unwrap_or_default()
     }
 
+    /// Regions that any route or customer names.
+    pub fn allowed_regions(&self) -> impl Iterator<Item = &RegionId> {
+        let routes = self.routes.values().flatten();
+        let routes = routes.flat_map(|rule| &rule.allowed_regions);
+        routes.chain(self.customers.iter().flat_map(|rule| &rule.allowed_regions))
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
@@ -230,7 +251,7 @@
 }
 
 /// Registration of one run of an endpoint.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EndpointRecord {
     /// Id of the endpoint.
     pub id: EndpointId,
@@ -250,6 +271,12 @@
     pub sequence: u64,
     /// Version of its software. Events of two versions do not fit into one stream.
     pub software: SoftwareVersion,
+    /// Time for which it was still cold when it registered.
+    pub cold_remaining: Duration,
+    /// Whether it counts as cold at this router; set in the lists of
+    /// [`FleetView`](crate::FleetView) only.
+    #[serde(skip)]
+    pub cold: Option<ColdPhase>,
 }
 
 impl EndpointRecord {
--- a/crates/forward/src/setting.rs
+++ b/crates/forward/src/setting.rs
@@ -1,12 +1,14 @@
 //! Settings of a router that forwards requests, read from an INI file.
 
-use std::{net::SocketAddr, str::FromStr, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, str::FromStr, time::Duration};
 
 use {
     jasminewall_core::{DomainId, VmId},
-    jasminewall_setting::{LogSetting, SettingErrors, SettingReader},
+    jasminewall_setting::{ANY_KEY, LogSetting, SettingErrors, SettingReader},
 };
 
+use crate::record::RegionId;
+
 /// Sections and keys, as listed in `docs/settings.md`.
 pub const FORWARD_KEYS: &[(&str, &[&str])] = &[
     (
@@ -29,8 +31,11 @@
             "retry_ratio",
             "retry_window_s",
             "retry_slack",
+            "cold_overrun",
+            "cold_slack",
         ],
     ),
+    ("regions", ANY_KEY),
     ("log", &["format", "level"]),
     ("metrics", &["listen"]),
 ];
@@ -49,6 +54,11 @@
     pub retry_window: Duration,
     /// Retries to a service that all routers together may make without any request.
     pub retry_slack: f64,
+    /// Requests that a cold endpoint may get in a second, as a multiple of the rate that its service
+    /// states.
+    pub cold_overrun: f64,
+    /// Requests that it may get in a second beyond that.
+    pub cold_slack: f64,
 }
 
 impl Default for FleetBounds {
@@ -60,6 +70,8 @@
             retry_ratio: 0.1,
             retry_window: Duration::from_secs(10),
             retry_slack: 10.0,
+            cold_overrun: 1.5,
+            cold_slack: 5.0,
         }
     }
 }
@@ -83,6 +95,8 @@
     pub store: SocketAddr,
     /// Limits for the fleet.
     pub bounds: FleetBounds,
+    /// Region of each failure domain.
+    pub regions: HashMap<DomainId, RegionId>,
     /// Format and level of the log.
     pub log: LogSetting,
     /// Address at which metrics are served.
@@ -110,7 +124,13 @@
                 retry_ratio: read_share(&mut reader, "retry_ratio", bounds.retry_ratio),
                 retry_window: read_seconds(&mut reader, "retry_window_s", bounds.retry_window),
                 retry_slack: read_share(&mut reader, "retry_slack", bounds.retry_slack),
+                cold_overrun: read_share(&mut reader, "cold_overrun", bounds.cold_overrun),
+                cold_slack: read_share(&mut reader, "cold_slack", bounds.cold_slack),
             },
+            regions: reader
+                .section("regions")
+                .map(|(domain, region)| (domain.into(), region.into()))
+                .collect(),
             log: reader.log(),
             metrics: reader.optional("metrics", "listen", "ip:port"),
         };
--- a/crates/forward/tests/allowance.rs
+++ b/crates/forward/tests/allowance.rs
@@ -26,6 +26,8 @@
         state: EndpointState::Ready,
         sequence: 0,
         software: "".into(),
+        cold_remaining: Default::default(),
+        cold: None,
     });
     records.collect()
 }
--- a/crates/forward/tests/charge.rs
+++ b/crates/forward/tests/charge.rs
@@ -195,11 +195,13 @@
         max_attempts: 3,
         priority: 0,
         anonymous: false,
+        allowed_regions: Vec::new(),
     };
     let customer = CustomerRule {
         name: "parish".into(),
         priority: None,
         prepaid: Some(PREPAID),
+        allowed_regions: Vec::new(),
     };
     let config = FleetConfig::new(
         7,
@@ -221,6 +223,8 @@
             state: EndpointState::Ready,
             sequence: 0,
             software: "".into(),
+            cold_remaining: Default::default(),
+            cold: None,
         }),
     });
     let update = EndpointUpdate {
--- a/crates/forward/tests/choice.rs
+++ b/crates/forward/tests/choice.rs
@@ -27,6 +27,8 @@
         state: EndpointState::Ready,
         sequence: 0,
         software: "".into(),
+        cold_remaining: Default::default(),
+        cold: None,
     });
     engines.collect()
 }
--- a/crates/forward/tests/large_fleet.rs
+++ b/crates/forward/tests/large_fleet.rs
@@ -101,6 +101,7 @@
             name: customer(),
             priority: None,
             prepaid: Some(1_000_000),
+            allowed_regions: Vec::new(),
         };
         let config = FleetConfig::new(
             1,
@@ -113,6 +114,7 @@
             Ok(ConfigUpdate {
                 config: Some(config),
                 version: 1,
+                ..ConfigUpdate::default()
             })
         })
     }
--- a/crates/forward/tests/log.rs
+++ b/crates/forward/tests/log.rs
@@ -115,11 +115,13 @@
         max_attempts: 1,
         priority: 0,
         anonymous: false,
+        allowed_regions: Vec::new(),
     };
     let customer = CustomerRule {
         name: "parish".into(),
         priority: None,
         prepaid: Some(prepaid),
+        allowed_regions: Vec::new(),
     };
     let customers = vec![(customer, vec!["key".into()])];
     let config = FleetConfig::new(
@@ -142,6 +144,8 @@
             state: EndpointState::Ready,
             sequence: 0,
             software: "".into(),
+            cold_remaining: Default::default(),
+            cold: None,
         }),
     }];
     view.replace_endpoints(
--- a/crates/forward/tests/restored_records.rs
+++ b/crates/forward/tests/restored_records.rs
@@ -31,6 +31,8 @@
         state,
         sequence,
         software: "".into(),
+        cold_remaining: Default::default(),
+        cold: None,
     }
 }
 
@@ -113,6 +115,7 @@
             Ok(ConfigUpdate {
                 config: Some(config),
                 version: self.version,
+                ..ConfigUpdate::default()
             })
         })
     }
@@ -123,6 +126,7 @@
             Ok(ConfigUpdate {
                 config: None,
                 version,
+                ..ConfigUpdate::default()
             })
         })
     }
--- a/crates/forward/tests/setting.rs
+++ b/crates/forward/tests/setting.rs
@@ -5,8 +5,24 @@
 use jasminewall_forward::ForwardSetting;
 
 /// The template with the documented sample values, as the platform fills it in.
-fn filled_template() -> String {
-    let text = include_str!("../../../deploy/router.ini");
+///
+/// `sections` gives the entries of each repeated section, with their keys; all others are left out.
+fn filled_template(sections: &[(&str, &[(&str, &str)])]) -> String {
+    let mut text = include_str!("../../../deploy/router.ini").to_owned();
+    while let Some(start) = text.find("{{#") {
+        let name_end = start + text[start..].find("}}").expect("a section's name");
+        let name = text[start + 3..name_end].to_owned();
+        let end_mark = format!("{{{{/{name}}}}}");
+        let end = text.find(&end_mark).expect("a section's end");
+        let body = text[name_end + 2..end].to_owned();
+        let entries = sections.iter().find(|(section, _)| *section == name);
+        let entries = entries.map_or(&[][..], |(_, entries)| entries);
+        let filled = entries
+            .iter()
+            .map(|(key, value)| body.replace("{{@}}", key).replace("{{.}}", value));
+        let filled: String = filled.collect();
+        text.replace_range(start..end + end_mark.len(), &filled);
+    }
     let values = [
         ("NodeName", "edge-a-1"),
         ("Zone", "a"),
@@ -22,7 +38,7 @@
         ("Bounds.RetrySlack", "58"),
         ("Limits.LinkMbps", "10.0"),
     ];
-    values.iter().fold(text.to_owned(), |text, (name, value)| {
+    values.iter().fold(text, |text, (name, value)| {
         text.replace(&format!("{{{{{name}}}}}"), value)
     })
 }
@@ -31,7 +47,7 @@
 /// graceful stop.
 #[test]
 fn the_deployment_template_gives_the_bounds_in_their_units() {
-    let text = filled_template();
+    let text = filled_template(&[]);
     assert!(
         !text.contains("{{"),
         "a placeholder without a value: {text}"
@@ -46,6 +62,18 @@
     );
     assert_eq!(setting.peer_listen.to_string(), "10.1.0.40:7340");
     assert_eq!(setting.link_mbps, Some(10.0));
+    assert!(setting.regions.is_empty());
+    let bounds = setting.bounds;
+    assert_eq!((bounds.cold_overrun, bounds.cold_slack), (1.5, 5.0));
+    let full = filled_template(&[
+        ("Bounds.ColdOverrun", &[("", "1.25")]),
+        ("Bounds.ColdSlack", &[("", "4")]),
+        ("Zones", &[("a", "west"), ("b", "east")]),
+    ]);
+    let full: ForwardSetting = full.parse().expect("the template is valid");
+    let bounds = full.bounds;
+    assert_eq!((bounds.cold_overrun, bounds.cold_slack), (1.25, 4.0));
+    assert_eq!((&*full.regions["a"], &*full.regions["b"]), ("west", "east"));
     let stopped = text.replace("link_mbps = 10.0", "link_mbps = 0");
     assert!(stopped.parse::<ForwardSetting>().is_err());
     let halves = text.replace("grace_s = 8", "grace_s = 7.5");
--- a/crates/setting/src/lib.rs
+++ b/crates/setting/src/lib.rs
@@ -23,6 +23,9 @@
 /// Minimum Jaro-Winkler similarity, from 0 to 1, for suggesting a known name.
 const MIN_SIMILARITY: f64 = 0.6;
 
+/// Keys of a section that accepts any key.
+pub const ANY_KEY: &[&str] = &["*"];
+
 /// Format of the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LogFormat {
@@ -105,7 +108,7 @@
             };
             for (key, value) in properties {
                 let path = format!("[{section}] {key}");
-                if !keys.contains(&key) {
+                if *keys != ANY_KEY && !keys.contains(&key) {
                     reader.push_error(unknown_name(&path, "key", key, keys.iter().copied()));
                     continue;
                 }
@@ -136,6 +139,14 @@
             .cloned()
     }
 
+    /// Returns the keys of a section with their values, except empty ones.
+    pub fn section<'a>(&'a self, section: &'a str) -> impl Iterator<Item = (&'a str, &'a str)> {
+        let values = self.values.iter();
+        values
+            .filter(move |((name, _), value)| name == section && !value.is_empty())
+            .map(|((_, key), value)| (key.as_str(), value.as_str()))
+    }
+
     /// Returns the value of a required key, or an empty string after recording an error.
     pub fn required(&mut self, section: &str, key: &str) -> String {
         let value = self.get(section, key);
