--- a/crates/forward/src/evacuation.rs
+++ b/crates/forward/src/evacuation.rs
@@ -137,14 +137,16 @@
             }
             return self.refresh();
         }
-        let missing: Vec<DomainId> = self
+        let era = era_of(version);
+        let missing: Vec<(DomainId, u64)> = self
             .domains
-            .keys()
-            .filter(|domain| !rows.contains_key(*domain))
-            .cloned()
+            .iter()
+            .filter(|(domain, _)| !rows.contains_key(*domain))
+            .map(|(domain, row_version)| (domain.clone(), *row_version))
             .collect();
-        for domain in missing {
-            if self.settled.contains(&domain) {
+        for (domain, row_version) in missing {
+            if era_of(row_version) == era {
+                // The restored store had the row, so it was removed since.
                 self.domains.remove(&domain);
             } else if self.held.insert(domain.clone()) {
                 tracing::warn!(%domain, "the restored store lost an evacuation; it holds until the store is read again");
--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -70,7 +70,8 @@
 
 struct ReadyList {
     records: Arc<Vec<EndpointRecord>>,
-    /// When the first registration that is missing from the store is dropped.
+    /// When the first registration that is missing from the store is dropped, or the first endpoint
+    /// is warm.
     valid_until: Option<Instant>,
 }
 
@@ -214,7 +215,7 @@
 
     /// Records that a run of an endpoint crashed or refused a connection.
     pub fn suspect_cold(&self, endpoint: &EndpointId, started_ms: u64, now: Instant) {
-        self.change_cold(endpoint, started_ms, "seen failing", |cold| {
+        self.change_cold(endpoint, started_ms, "failure", now, |cold| {
             cold.suspect(now);
         });
     }
@@ -227,7 +228,7 @@
         remaining: Duration,
         now: Instant,
     ) {
-        self.change_cold(endpoint, started_ms, "response", |cold| {
+        self.change_cold(endpoint, started_ms, "response", now, |cold| {
             cold.extend(remaining, now);
         });
     }
@@ -237,6 +238,7 @@
         endpoint: &EndpointId,
         started_ms: u64,
         source: &str,
+        now: Instant,
         change: impl FnOnce(&mut ColdClock),
     ) {
         let config = self.config();
@@ -252,7 +254,8 @@
             return;
         }
         change(&mut member.cold);
-        tracing::info!(%endpoint, source, cold = ?member.cold, "the endpoint counts as cold");
+        let cold_ms = member.cold.remaining(now).as_millis() as u64;
+        tracing::info!(%endpoint, source, cold_ms, "the endpoint counts as cold");
         set.ready.clear();
     }
 
@@ -391,9 +394,11 @@
                 && member.is_live(now)
         });
         let members: Vec<&EndpointMember> = members.collect();
-        let valid_until = members.iter().filter_map(|member| member.drop_at).min();
         let records = members.iter().map(|member| member.listed(rule, now));
         let records = Arc::new(records.collect::<Vec<_>>());
+        let cold = records.iter().filter_map(|record| record.cold);
+        let drops = members.iter().filter_map(|member| member.drop_at);
+        let valid_until = drops.chain(cold.map(|phase| phase.until)).min();
         let list = ReadyList {
             records: records.clone(),
             valid_until,
--- a/crates/forward/src/warmup.rs
+++ b/crates/forward/src/warmup.rs
@@ -28,7 +28,7 @@
 
 /// Number of routers that send to a cold endpoint. More would send too rarely each to have a request
 /// at the right time; with fewer, one that is down would take a large part of the rate away.
-const OWNERS: usize = 4;
+const OWNERS: usize = 5;
 /// Number of senders for which the bound holds, as a multiple of the intended number.
 const SENDER_MARGIN: usize = 2;
 /// Part of a second by which the network may bring two requests closer together.
@@ -88,6 +88,12 @@
         self.extend(rule.cold_start, now);
     }
 
+    /// Time for which the endpoint still counts as cold.
+    pub fn remaining(&self, now: Instant) -> Duration {
+        let until = self.until.unwrap_or(now);
+        until.saturating_duration_since(now)
+    }
+
     /// Phase of an endpoint; `None` if it is warm or its service has no warm-up rate.
     pub fn phase(&self, rule: &ServiceRule, now: Instant) -> Option<ColdPhase> {
         let per_second = rule.warmup_per_s.filter(|rate| *rate > 0.0)?;
