--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -21,6 +21,8 @@
 mod budget;
 mod buffered;
 pub mod draws;
+pub mod eligible;
+pub mod evacuation;
 mod fleet;
 mod follow;
 mod forwarder;
@@ -42,6 +44,7 @@
 mod sse;
 mod stream;
 mod trial;
+pub mod warmup;
 
 pub use crate::{
     balancer::{LoadBalancer, Placement, PlacementQuery, RouterLoad},
