Let routers with fast links own the grants of a large fleet

Of a domain with two links of 200 Mbit/s, the third owner had one of 10 Mbit/s; all requests of a third of the customers asked it.

Rendezvous hashing now chooses among the pool members whose link is not slower than a quarter of the fastest; the others own grants only while none of these responds. The three members of a pool, which remember draws and send frequent heartbeats, are the same as before.

--- a/crates/forward/src/group.rs
+++ b/crates/forward/src/group.rs
@@ -31,6 +31,7 @@
     forwarder::Forwarder,
     manager::{BudgetManager, DepositOutcome, PredecessorEnd, TokenPeers},
     notice::NoticeRecord,
+    owner::OwnerPool,
     peer::{HeartbeatRecord, PEER_TIMEOUT, PeerRecord, RouterPeerClient},
     session::{SessionMode, StoreSession},
     trial,
@@ -82,9 +83,6 @@
 /// share of a customer's demand is less than one request, so one router per failure domain owns a
 /// grant and the others ask it.
 const ALL_OWNERS_MAX: usize = 16;
-/// Number of routers of a failure domain that may own grants in a large fleet. Only these need
-/// frequent heartbeats and the takeover of accounts after a crash.
-const DOMAIN_OWNERS: usize = 3;
 /// Longest wait for tokens from a peer, including the peer's transactions at the store. Tokens in a
 /// later response are lost to both routers.
 const GIVE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -118,27 +116,23 @@
     /// All other routers.
     entries: HashMap<VmId, PeerEntry>,
     /// Routers that may own grants, this one included, by failure domain.
-    owner_pools: BTreeMap<DomainId, Vec<VmId>>,
+    owner_pools: BTreeMap<DomainId, OwnerPool<VmId>>,
     /// Era of the store in which the registrations were last read in full.
     era: Option<StoreEra>,
 }
 
 impl PeerTable {
-    /// Chooses the routers that may own grants: those with the fastest links of each domain, since
-    /// the others send them a message for each request. Equal ones are ordered by their names'
-    /// hashes.
+    /// Chooses the routers that may own grants. Equal ones are ordered by their names' hashes.
     fn choose_owner_pools(&mut self, own_vm: &VmId, own_record: &PeerRecord) {
-        let mut domains = BTreeMap::<&DomainId, Vec<(u32, u64, &VmId)>>::new();
+        let mut domains = BTreeMap::<DomainId, Vec<_>>::new();
         let others = self.entries.iter().map(|(vm, entry)| (vm, &entry.record));
         for (vm, record) in others.chain([(own_vm, own_record)]) {
-            let rank = (record.link_mbps, xxh3_64(vm.as_bytes()), vm);
-            domains.entry(&record.domain).or_default().push(rank);
+            let rank = (record.link_mbps, xxh3_64(vm.as_bytes()));
+            let domain = domains.entry(record.domain.clone()).or_default();
+            domain.push((rank, vm.clone()));
         }
-        let pools = domains.into_iter().map(|(domain, mut ranks)| {
-            ranks.sort_unstable_by(|a, b| b.cmp(a));
-            let vms = ranks.into_iter().take(DOMAIN_OWNERS);
-            (domain.clone(), vms.map(|(_, _, vm)| vm.clone()).collect())
-        });
+        let pools = domains.into_iter();
+        let pools = pools.map(|(domain, ranked)| (domain, OwnerPool::choose(ranked)));
         self.owner_pools = pools.collect();
     }
 
@@ -152,7 +146,7 @@
     fn owner_of<'a>(
         &self,
         customer: &CustomerId,
-        pool: &'a [VmId],
+        pool: &'a OwnerPool<VmId>,
         own_vm: &VmId,
         now: Instant,
     ) -> Option<&'a VmId> {
@@ -161,8 +155,7 @@
             let entry = self.entries.get(vm);
             vm == own_vm || entry.is_some_and(|entry| entry.is_responsive(now))
         };
-        let responsive = pool.iter().filter(|vm| is_responsive(vm));
-        responsive.max_by_key(|vm| xxh3_64_with_seed(vm.as_bytes(), seed))
+        pool.owner(is_responsive, |vm| xxh3_64_with_seed(vm.as_bytes(), seed))
     }
 }
 
@@ -339,7 +332,7 @@
             let entries = table.entries.iter();
             return entries.map(|(vm, entry)| entry.target(vm)).collect();
         }
-        let pools = table.owner_pools.values().flatten();
+        let pools = table.owner_pools.values().flat_map(OwnerPool::members);
         pools
             .filter_map(|vm| table.entries.get(vm).map(|entry| entry.target(vm)))
             .collect()
@@ -350,7 +343,7 @@
     fn owners(&self, customer: &CustomerId) -> Vec<Option<PeerTarget>> {
         let now = Instant::now();
         let table = self.table();
-        let mut pools: Vec<(&DomainId, &Vec<VmId>)> = table.owner_pools.iter().collect();
+        let mut pools: Vec<(&DomainId, &OwnerPool<VmId>)> = table.owner_pools.iter().collect();
         pools.sort_by_key(|(domain, _)| **domain != self.record.domain);
         let owners = pools.into_iter();
         let owners = owners.filter_map(|(_, pool)| table.owner_of(customer, pool, &self.vm, now));
@@ -374,9 +367,13 @@
     fn heartbeat_group(&self) -> usize {
         let table = self.table();
         let mut pools = table.owner_pools.values();
-        let is_in_pool = pools.any(|pool| pool.contains(&self.vm));
+        let is_in_pool = pools.any(|pool| pool.members().contains(&self.vm));
         if is_in_pool && !table.is_small() {
-            table.owner_pools.values().map(Vec::len).sum()
+            table
+                .owner_pools
+                .values()
+                .map(|pool| pool.members().len())
+                .sum()
         } else {
             table.entries.len() + 1
         }
@@ -576,7 +573,7 @@
         let table = self.table();
         table.era?;
         let mut pools = table.owner_pools.values();
-        Some(table.is_small() || pools.any(|pool| pool.contains(&self.vm)))
+        Some(table.is_small() || pools.any(|pool| pool.members().contains(&self.vm)))
     }
 
     fn record_draw<'a>(
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -31,6 +31,7 @@
 mod node;
 pub mod notice;
 pub mod origin;
+pub mod owner;
 pub mod peer;
 pub mod port;
 pub mod record;
