Say that a budget is spent only where nothing can cover the request

After a read that proved the budget spent for a large request, all requests beyond the free tokens got 402 for half a second, even those that tokens of other routers cover. Tokens that requests of the own router hold, or that were drawn and are not confirmed, did not count either.

The result of the read now keeps all tokens that may become available, and each request is compared with them.

budget: a_spent_verdict_applies_only_to_requests_that_nothing_covers failed before (400 tokens refused as spent) and passes; budget, log, charge, restored_store and large_fleet pass.

--- a/crates/forward/src/budget.rs
+++ b/crates/forward/src/budget.rs
@@ -81,7 +81,21 @@
     pub(crate) until: Instant,
     /// Free tokens in the pool.
     pub(crate) free: Tokens,
-    pub(crate) shortage: BudgetShortage,
+    /// All tokens that may still become available to a request here: those in the pool, of other
+    /// routers, and of this one including those that requests hold.
+    pub(crate) reachable: Tokens,
+}
+
+impl ExhaustedPool {
+    /// Why a request of `amount` tokens gets none. A smaller request than the one that led to the
+    /// read may be covered by tokens that are held elsewhere.
+    pub(crate) fn shortage_of(self, amount: Tokens) -> BudgetShortage {
+        if amount > self.reachable {
+            BudgetShortage::Spent
+        } else {
+            BudgetShortage::HeldElsewhere
+        }
+    }
 }
 
 /// Limit on consumption that an account row sets for its run.
@@ -161,10 +175,16 @@
         (IDLE_REQUESTS * self.last_amount).clamp(least, most)
     }
 
-    /// Why the pool recently had fewer than `missing` tokens.
-    pub(crate) fn shortage_at(&self, now: Instant, missing: Tokens) -> Option<BudgetShortage> {
+    /// Why a request of `amount` tokens, of which `missing` are not here, gets none, if the pool
+    /// recently had fewer than that.
+    pub(crate) fn shortage_at(
+        &self,
+        now: Instant,
+        amount: Tokens,
+        missing: Tokens,
+    ) -> Option<BudgetShortage> {
         let pool = self.exhausted?;
-        (pool.until > now && missing > pool.free).then_some(pool.shortage)
+        (pool.until > now && missing > pool.free).then(|| pool.shortage_of(amount))
     }
 
     /// Tokens of future demand to ask peers for, beyond what a request lacks. It is 0 for owners,
--- a/crates/forward/src/manager.rs
+++ b/crates/forward/src/manager.rs
@@ -734,22 +734,23 @@
         // Only a fresh read of all accounts can prove that the budget is spent.
         self.read_accounts(budget, &mut account).await?;
         let prepaid = budget.state().prepaid;
-        let reachable =
-            account.free(prepaid) + account.others_unspent() + self.spendable(&budget.customer);
-        let shortage = if amount > reachable {
-            BudgetShortage::Spent
-        } else {
-            BudgetShortage::HeldElsewhere
+        let own = {
+            let ledger = self.ledger();
+            // Requests may not use all that they hold.
+            ledger.spendable(&budget.customer) + ledger.held(&budget.customer)
+        };
+        let own = own + account.unconfirmed() + account.pending_return();
+        let pool = ExhaustedPool {
+            until: Instant::now() + EXHAUSTED_PAUSE,
+            free: account.free(prepaid),
+            reachable: account.free(prepaid) + account.others_unspent() + own,
         };
+        let shortage = pool.shortage_of(amount);
         tracing::info!(
             request = request.map(|id| id.as_str()), customer = %budget.customer, amount, prepaid, free = account.free(prepaid),
             others = account.others_unspent(), ?shortage, "the total does not cover a request"
         );
-        budget.state().exhausted = Some(ExhaustedPool {
-            until: Instant::now() + EXHAUSTED_PAUSE,
-            free: account.free(prepaid),
-            shortage,
-        });
+        budget.state().exhausted = Some(pool);
         Err(shortage)
     }
 
@@ -898,7 +899,7 @@
         now: Instant,
     ) -> Option<BudgetShortage> {
         let missing = amount.saturating_sub(self.spendable(&budget.customer));
-        budget.state().shortage_at(now, missing)
+        budget.state().shortage_at(now, amount, missing)
     }
 
     fn covers(&self, budget: &CustomerBudget, amount: Tokens) -> bool {
--- a/crates/forward/tests/budget.rs
+++ b/crates/forward/tests/budget.rs
@@ -526,3 +526,29 @@
         assert!(calls.len() >= 3 && ahead <= limit, "{is_owner}: {calls:?}");
     }
 }
+
+/// Guards against 402 for a customer with tokens left: after a request that all accounts together did
+/// not cover, smaller ones were refused as spent although another router held their tokens.
+#[tokio::test]
+async fn a_spent_verdict_applies_only_to_requests_that_nothing_covers() {
+    let rows = MemoryRows::new();
+    let other = manager(&rows, "vm-1", 1, PredecessorEnd::Unknown);
+    let router = manager(&rows, "vm-2", 2, PredecessorEnd::Unknown);
+    let first = other
+        .hold(&"first".into(), &customer(), 10_000, 10_000, deadline())
+        .await;
+    let first = first.expect("the budget covers the request");
+    for (amount, expected) in [
+        (10_001, BudgetShortage::Spent),
+        (400, BudgetShortage::HeldElsewhere),
+        (10_000, BudgetShortage::HeldElsewhere),
+        (10_001, BudgetShortage::Spent),
+    ] {
+        let refused = router
+            .hold(&"next".into(), &customer(), 10_000, amount, deadline())
+            .await;
+        assert_eq!(refused.err(), Some(expected), "{amount} tokens");
+    }
+    drop(first);
+    assert_eq!(other.spendable(&customer()), 10_000);
+}
