Refuse requests at once when owners have no tokens

In fleets over 16 routers, a router remembers for up to 250 ms that owners had too few tokens for a request of that size. The new call give_or_hint, used where a registration names it, says when an owner expects more; Retry-After names this time with a spread. A request waits for a quarter of the target latency, skips the store while heartbeats are late, and leaves the draw to an owner that is writing. 402 is not said while lent tokens may come back.

--- a/crates/forward/src/budget.rs
+++ b/crates/forward/src/budget.rs
@@ -13,6 +13,7 @@
     account::{AccountRow, CustomerAccount, late_tokens},
     draws::DrawMap,
     manager::BudgetShortage,
+    supply::{LentTokens, SupplyMemory},
 };
 
 /// The account is written again when fewer than the open tokens divided by this number are left.
@@ -62,6 +63,10 @@
     pub(crate) given: Tokens,
     /// Tokens received from peers.
     pub(crate) received: Tokens,
+    /// Tokens given to peers that may come back.
+    pub(crate) lent: LentTokens,
+    /// Last answers of peers that were asked for tokens.
+    pub(crate) supply: SupplyMemory,
     pub(crate) refilling: bool,
     /// Pool that recently had too few tokens.
     pub(crate) exhausted: Option<ExhaustedPool>,
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -35,11 +35,10 @@
     retry::RetryBudget,
     setting::FleetBounds,
     stream::StreamRelay,
+    supply::longest_wait,
     trial::{SuspectTrials, TrialPermit},
 };
 
-/// Longest wait for tokens before a request is refused; a late refusal is worth less to the caller.
-const HOLD_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time after the deadline within which the endpoint's own response may still arrive.
 pub(crate) const RESPONSE_GRACE: Duration = Duration::from_millis(100);
 /// Largest number of sends of one request, including those that endpoints rejected.
@@ -98,6 +97,8 @@
         rows: Arc<dyn RowPort>,
         bounds: FleetBounds,
     ) -> Arc<Self> {
+        let metrics = ForwardMetrics::default();
+        budgets.set_metrics(metrics.clone());
         Arc::new(Self {
             view,
             budgets,
@@ -113,7 +114,7 @@
             outbox: Mutex::default(),
             notice_added: Notify::new(),
             load_changed: Notify::new(),
-            metrics: ForwardMetrics::default(),
+            metrics,
         })
     }
 
@@ -168,10 +169,11 @@
         let id = request.id.clone();
         let arrived = request.arrived;
         let deadline = request.deadline;
+        let key = request.key.clone();
         match self.serve(request).await {
             Ok(response) => response,
             Err(kind) => {
-                let retry_at = self.retry_at(kind, deadline);
+                let retry_at = self.retry_at(kind, key.as_deref(), deadline);
                 let held_ms = arrived.elapsed().as_millis();
                 tracing::info!(request = %id, refusal = kind.code(), %held_ms, "refused");
                 self.metrics.refused(kind);
@@ -181,10 +183,20 @@
     }
 
     /// When the caller may retry: after a third of its remaining time at the latest.
-    fn retry_at(&self, kind: RefusalKind, deadline: Option<Instant>) -> Option<Instant> {
+    fn retry_at(
+        &self,
+        kind: RefusalKind,
+        key: Option<&str>,
+        deadline: Option<Instant>,
+    ) -> Option<Instant> {
         let now = Instant::now();
+        let config = self.view.config();
+        let customer = || config.as_ref()?.customer(key?);
         let at = match kind {
-            RefusalKind::BudgetUnavailable => self.budgets.retry_at(now),
+            RefusalKind::BudgetUnavailable => {
+                let customer = customer().map(|customer| &customer.name);
+                self.budgets.retry_at(customer, now)
+            }
             RefusalKind::NotConfigured
             | RefusalKind::NoEndpoint
             | RefusalKind::UnknownOrigin
@@ -279,7 +291,8 @@
             (Some(customer), Some(prompt)) => match customer.prepaid {
                 Some(prepaid) => {
                     let amount = prompt.input_tokens + prompt.max_output_tokens;
-                    let wait = deadline.min(Instant::now() + HOLD_TIMEOUT);
+                    let wait = longest_wait(route.target_latency, self.budgets.is_large());
+                    let wait = deadline.min(Instant::now() + wait);
                     let hold = self
                         .budgets
                         .hold(&request.id, &customer.name, prepaid, amount, wait)
--- a/crates/forward/src/group.rs
+++ b/crates/forward/src/group.rs
@@ -34,6 +34,7 @@
     owner::OwnerPool,
     peer::{HeartbeatRecord, PEER_TIMEOUT, PeerRecord, RouterPeerClient},
     session::{SessionMode, StoreSession},
+    supply::{SupplyAnswer, SupplyOutcome},
     trial,
 };
 
@@ -82,7 +83,7 @@
 /// Fleet size up to which every router owns a grant of every customer. In larger fleets a router's
 /// share of a customer's demand is less than one request, so one router per failure domain owns a
 /// grant and the others ask it.
-const ALL_OWNERS_MAX: usize = 16;
+pub(crate) const ALL_OWNERS_MAX: usize = 16;
 /// Longest wait for tokens from a peer, including the peer's transactions at the store. Tokens in a
 /// later response are lost to both routers.
 const GIVE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -171,6 +172,7 @@
     vm: VmId,
     address: SocketAddr,
     client: Option<RouterPeerClient>,
+    has_supply_hints: bool,
 }
 
 impl PeerEntry {
@@ -184,6 +186,7 @@
             vm: vm.clone(),
             address: self.record.address,
             client: self.client.clone(),
+            has_supply_hints: self.record.has_supply_hints,
         }
     }
 }
@@ -537,9 +540,9 @@
         customer: &'a CustomerId,
         minimum: Tokens,
         wanted: Tokens,
-    ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>> {
+    ) -> Pin<Box<dyn Future<Output = SupplyOutcome> + Send + 'a>> {
         Box::pin(async move {
-            let mut received = 0;
+            let mut outcome = SupplyOutcome::default();
             let owners = if self.table().is_small() {
                 Vec::new()
             } else {
@@ -551,21 +554,21 @@
                 Vec::new()
             };
             for target in owners.into_iter().chain(others) {
-                if received >= minimum {
+                if outcome.given >= minimum {
                     break;
                 }
                 let Some(client) = self.connect(&target).await else {
                     continue;
                 };
-                let context = context_with_timeout(GIVE_TIMEOUT);
-                let given = client.give(context, customer.clone(), wanted - received);
+                let wanted = wanted.saturating_sub(outcome.given);
+                let call = give(&client, &target, customer, wanted);
                 // Tokens in a lost response stay unused, so the budget is not overspent.
-                match timeout(GIVE_TIMEOUT, given).await {
-                    Ok(Ok(given)) => received += given,
+                match timeout(GIVE_TIMEOUT, call).await {
+                    Ok(Some(answer)) => outcome.add(answer),
                     _ => self.mark_unresponsive(&target.vm),
                 }
             }
-            received
+            outcome
         })
     }
 
@@ -663,6 +666,25 @@
     }
 }
 
+/// Asks one router for tokens; `None` if the call failed.
+async fn give(
+    client: &RouterPeerClient,
+    target: &PeerTarget,
+    customer: &CustomerId,
+    wanted: Tokens,
+) -> Option<SupplyAnswer> {
+    let context = context_with_timeout(GIVE_TIMEOUT);
+    if target.has_supply_hints {
+        let answer = client.give_or_hint(context, customer.clone(), wanted);
+        return answer.await.ok();
+    }
+    let given = client.give(context, customer.clone(), wanted).await.ok()?;
+    Some(SupplyAnswer {
+        given,
+        ..SupplyAnswer::default()
+    })
+}
+
 fn peer_context() -> context::Context {
     context_with_timeout(PEER_TIMEOUT)
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod setting;
 mod sse;
 mod stream;
+pub mod supply;
 mod trial;
 
 pub use crate::{
--- a/crates/forward/src/manager.rs
+++ b/crates/forward/src/manager.rs
@@ -3,7 +3,7 @@
     future::Future,
     pin::Pin,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
@@ -24,8 +24,12 @@
     account::{AccountUsage, CustomerAccount, LoadedRows, SPEND_TABLE},
     budget::{CustomerBudget, ExhaustedPool, SpendLimit},
     draws::{DrawRecord, DrawSurvey, merge_totals},
+    metric::ForwardMetrics,
     port::SendCount,
     session::{SessionMode, StoreSession},
+    supply::{
+        OwnerState, SUPPLY_TIMEOUT, SupplyAnswer, SupplyOutcome, SupplyOutlook, spread_delay,
+    },
 };
 
 mod era;
@@ -107,13 +111,13 @@
     /// Whether this router owns a grant of the customer, which it draws ahead of demand.
     fn is_owner(&self, customer: &CustomerId) -> bool;
     /// Asks peers for up to `wanted` tokens of a customer, until they have given `minimum`. Returns
-    /// how many they gave.
+    /// how many they gave, and when they expect more.
     fn ask<'a>(
         &'a self,
         customer: &'a CustomerId,
         minimum: Tokens,
         wanted: Tokens,
-    ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>>;
+    ) -> Pin<Box<dyn Future<Output = SupplyOutcome> + Send + 'a>>;
     /// Whether this router remembers draws for others; `None` until it knows the other routers.
     fn keeps_draws(&self) -> Option<bool>;
     /// Tells the routers that remember draws of one. Returns whether enough of them know it; see
@@ -159,6 +163,9 @@
     predecessor: Mutex<Option<PredecessorEnd>>,
     /// Number of routers that own a grant of each customer.
     owner_count: AtomicU64,
+    /// Whether only some routers of the fleet own grants.
+    is_large: AtomicBool,
+    metrics: OnceLock<ForwardMetrics>,
     /// Id of the next hold in the ledger.
     next_hold: AtomicU64,
     /// Set when the router stops; nothing is drawn from then on.
@@ -254,6 +261,8 @@
             has_learned_draws: AtomicBool::new(false),
             predecessor: Mutex::default(),
             owner_count: AtomicU64::new(1),
+            is_large: AtomicBool::new(false),
+            metrics: OnceLock::new(),
             next_hold: AtomicU64::new(0),
             closed: AtomicBool::new(false),
             leftovers: Mutex::default(),
@@ -267,6 +276,28 @@
         self.owner_count.store(owner_count, Ordering::Relaxed);
     }
 
+    /// Sets whether only some routers of the fleet own grants. Routers of such a fleet remember what
+    /// peers answered and bound their waits by the target latency.
+    pub fn set_large(&self, is_large: bool) {
+        self.is_large.store(is_large, Ordering::Relaxed);
+    }
+
+    /// See [`Self::set_large`].
+    pub fn is_large(&self) -> bool {
+        self.is_large.load(Ordering::Relaxed)
+    }
+
+    /// Sets where asks for tokens are counted. Later calls have no effect.
+    pub(crate) fn set_metrics(&self, metrics: ForwardMetrics) {
+        let _ = self.metrics.set(metrics);
+    }
+
+    fn count_ask(&self, outcome: &str) {
+        if let Some(metrics) = self.metrics.get() {
+            metrics.asked_tokens(outcome);
+        }
+    }
+
     /// Tokens of a customer that new requests can hold without a draw from the store.
     pub fn spendable(&self, customer: &CustomerId) -> Tokens {
         self.ledger().spendable(customer)
@@ -294,30 +325,23 @@
             self.maybe_refill(&budget);
             return Ok(hold);
         }
-        if !self.peers.is_owner(customer) {
-            self.ask_peers(request, &budget, amount, None, deadline)
+        let is_owner = self.peers.is_owner(customer);
+        let mut supply = None;
+        if !is_owner {
+            supply = self
+                .ask_peers(request, &budget, amount, None, deadline)
                 .await;
             if let Some(hold) = self.try_hold(&budget, request, amount) {
                 return Ok(hold);
             }
         }
-        let known_shortage = self.known_shortage(&budget, amount, now);
-        let shortage = if let Some(shortage) = known_shortage {
-            shortage
-        } else {
-            match timeout_at(deadline.into(), self.refill(Some(request), &budget, amount)).await {
-                Ok(Ok(())) => BudgetShortage::HeldElsewhere,
-                Ok(Err(shortage)) => shortage,
-                Err(_) => {
-                    self.pause_store();
-                    BudgetShortage::StoreAway
-                }
-            }
-        };
+        let shortage = self
+            .draw(request, &budget, amount, supply, now, deadline)
+            .await;
         if let Some(hold) = self.try_hold(&budget, request, amount) {
             return Ok(hold);
         }
-        if shortage != BudgetShortage::Spent && self.peers.is_owner(customer) {
+        if shortage != BudgetShortage::Spent && is_owner {
             self.ask_peers(request, &budget, amount, Some(shortage), deadline)
                 .await;
         }
@@ -326,36 +350,133 @@
             // Peers may have given a part of the tokens.
             self.note_leftover(customer.clone());
         }
-        hold.ok_or(shortage)
+        hold.ok_or_else(|| self.final_shortage(&budget, amount, shortage, supply))
     }
 
-    /// Asks peers for the tokens that a request lacks. Tokens that arrive after `deadline` serve
-    /// later requests.
-    async fn ask_peers(
+    /// Draws the tokens that a request lacks from the pool. Returns why the request gets none if it
+    /// still lacks some.
+    async fn draw(
         self: &Arc<Self>,
         request: &RequestId,
+        budget: &Arc<CustomerBudget>,
+        amount: Tokens,
+        supply: Option<SupplyOutcome>,
+        now: Instant,
+        deadline: Instant,
+    ) -> BudgetShortage {
+        if let Some(shortage) = self.known_shortage(budget, amount, now) {
+            return shortage;
+        }
+        if !self.is_large() {
+            let refill = self.refill(Some(request), budget, amount);
+            return match timeout_at(deadline.into(), refill).await {
+                Ok(Ok(())) => BudgetShortage::HeldElsewhere,
+                Ok(Err(shortage)) => shortage,
+                Err(_) => {
+                    self.pause_store();
+                    BudgetShortage::StoreAway
+                }
+            };
+        }
+        if self.is_store_away(Instant::now()) {
+            return BudgetShortage::StoreAway;
+        }
+        if supply.is_some_and(|supply| supply.outlook == SupplyOutlook::Writing) {
+            // An owner draws from the pool. Draws of all routers that lack tokens would conflict
+            // with its own.
+            return BudgetShortage::HeldElsewhere;
+        }
+        let (manager, budget, request) = (self.clone(), budget.clone(), request.clone());
+        // A cancelled transaction has an unknown outcome, so it may take longer than the request
+        // waits. Its tokens serve later requests.
+        let refill = tokio::spawn(async move {
+            let refill = manager.refill(Some(&request), &budget, amount);
+            let refilled = tokio::time::timeout(SUPPLY_TIMEOUT, refill).await;
+            refilled.unwrap_or_else(|_| {
+                manager.pause_store();
+                Err(BudgetShortage::StoreAway)
+            })
+        });
+        match timeout_at(deadline.into(), refill).await {
+            Ok(Ok(Err(shortage))) => shortage,
+            Ok(Ok(Ok(()))) => BudgetShortage::HeldElsewhere,
+            Ok(Err(_)) | Err(_) => BudgetShortage::StoreAway,
+        }
+    }
+
+    /// Why a request gets no tokens. In a large fleet a budget is spent only if tokens that owners
+    /// lent to other routers would not cover the request either.
+    fn final_shortage(
+        &self,
         budget: &CustomerBudget,
         amount: Tokens,
+        shortage: BudgetShortage,
+        supply: Option<SupplyOutcome>,
+    ) -> BudgetShortage {
+        if shortage != BudgetShortage::Spent || !self.is_large() {
+            return shortage;
+        }
+        let state = budget.state();
+        let is_owner_heard = supply.is_some_and(|supply| supply.answers > 0);
+        let lent = state.lent.recent(Instant::now()) + supply.map_or(0, |supply| supply.lent);
+        let reachable = state.exhausted.map_or(0, |pool| pool.reachable) + lent;
+        // Tokens that an owner gave since it wrote its account count twice.
+        let reachable = reachable.min(state.prepaid);
+        let is_owner = self.peers.is_owner(&budget.customer);
+        if amount > reachable && (is_owner || is_owner_heard) {
+            BudgetShortage::Spent
+        } else {
+            BudgetShortage::HeldElsewhere
+        }
+    }
+
+    /// Asks peers for the tokens that a request lacks, unless they recently had too few. Tokens that
+    /// arrive after `deadline` serve later requests. Returns the answers, if they came in time.
+    async fn ask_peers(
+        self: &Arc<Self>,
+        request: &RequestId,
+        budget: &Arc<CustomerBudget>,
+        amount: Tokens,
         shortage: Option<BudgetShortage>,
         deadline: Instant,
-    ) {
+    ) -> Option<SupplyOutcome> {
         let (manager, customer) = (self.clone(), budget.customer.clone());
         let missing = amount.saturating_sub(self.allowance(budget).min(self.spendable(&customer)));
+        if self.is_large()
+            && let Some(known) = budget.state().supply.shortage(missing, Instant::now())
+        {
+            tracing::info!(
+                %request, %customer, missing, outlook = ?known.outlook,
+                "peers recently had too few tokens; not asked again"
+            );
+            self.count_ask("remembered");
+            return Some(known);
+        }
         let is_owner = self.peers.is_owner(&customer);
         let ahead = budget.state().ask_ahead(is_owner, Instant::now());
+        let asker = budget.clone();
         let call = tokio::spawn(async move {
-            let given = manager.peers.ask(&customer, missing, missing + ahead).await;
-            manager.receive(&customer, given);
-            given
+            let outcome = manager.peers.ask(&customer, missing, missing + ahead).await;
+            manager.receive(&customer, outcome.given);
+            let mut state = asker.state();
+            state.supply.record(missing, outcome, Instant::now());
+            outcome
         });
-        let given = match timeout_at(deadline.into(), call).await {
-            Ok(Ok(given)) => Some(given),
+        let outcome = match timeout_at(deadline.into(), call).await {
+            Ok(Ok(outcome)) => Some(outcome),
             _ => None,
         };
+        let given = outcome.map(|outcome| outcome.given);
+        self.count_ask(match given {
+            Some(given) if given >= missing => "served",
+            Some(_) => "short",
+            None => "late",
+        });
         tracing::info!(
             %request, customer = %budget.customer, missing, given,
             shortage = shortage.map(tracing::field::debug), "asked peers for tokens"
         );
+        outcome
     }
 
     /// Gives tokens to a peer that has a request to serve. A router that owns a grant first refills
@@ -374,12 +495,47 @@
         }
         let given = self.withdraw(&budget, wanted);
         if is_owner {
-            budget.state().demand_rate.add(given, Instant::now());
+            let now = Instant::now();
+            let mut state = budget.state();
+            state.demand_rate.add(given, now);
+            state.lent.lend(given, now);
+            drop(state);
             self.maybe_refill(&budget);
         }
         given
     }
 
+    /// Like [`Self::give`]. An owner of a grant that gives fewer tokens says when it expects more.
+    pub async fn give_or_hint(
+        self: &Arc<Self>,
+        customer: &CustomerId,
+        wanted: Tokens,
+    ) -> SupplyAnswer {
+        let given = self.give(customer, wanted).await;
+        let budget = self.budget(customer);
+        let (now, missing) = (Instant::now(), wanted.saturating_sub(given));
+        let pool_shortage = self.known_shortage(&budget, wanted, now);
+        let spendable = self.spendable(customer);
+        let is_store_away = self.is_store_away(now);
+        let state = budget.state();
+        if missing == 0 || state.prepaid == 0 || !self.peers.is_owner(customer) {
+            return SupplyAnswer {
+                given,
+                ..SupplyAnswer::default()
+            };
+        }
+        let pool_read_at = state.exhausted.map(|pool| pool.until);
+        let pool_read_in = pool_read_at.map(|at| at.saturating_duration_since(now));
+        let owner = OwnerState {
+            missing,
+            spendable,
+            late_rate: state.limit.late_rate,
+            is_store_away,
+            pool_read_in: pool_shortage.and(pool_read_in),
+        };
+        owner.answer(given, state.lent.recent(now))
+    }
+
     /// Takes up to `wanted` tokens out of the ledger, but no more than may be consumed before the
     /// next write of the account.
     fn withdraw(&self, budget: &CustomerBudget, wanted: Tokens) -> Tokens {
@@ -398,9 +554,18 @@
         self.session.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// When a request that was refused for lack of tokens may succeed.
-    pub fn retry_at(&self, now: Instant) -> Instant {
-        now + RETRY_AFTER
+    /// When a request that was refused for lack of tokens may succeed: when an owner of a grant
+    /// expects more. In a large fleet the returns of several callers are spread.
+    pub fn retry_at(&self, customer: Option<&CustomerId>, now: Instant) -> Instant {
+        if !self.is_large() {
+            return now + RETRY_AFTER;
+        }
+        let more_at = customer.and_then(|customer| {
+            let budget = self.budgets().get(customer).cloned();
+            budget?.state().supply.more_at(now)
+        });
+        let delay = more_at.map_or(RETRY_AFTER, |at| at - now);
+        now + spread_delay(delay, rand::random())
     }
 
     /// Sets how the previous run ended. No account is changed before this is known.
@@ -548,6 +713,13 @@
             && !session.is_overdue(now)
     }
 
+    /// Adds tokens that a peer hands back or over.
+    pub fn take_back(&self, customer: &CustomerId, tokens: Tokens) {
+        let budget = self.budget(customer);
+        budget.state().lent.take_back(tokens, Instant::now());
+        self.receive(customer, tokens);
+    }
+
     /// Adds tokens that a peer gave or handed over.
     pub fn receive(&self, customer: &CustomerId, tokens: Tokens) {
         let budget = self.budget(customer);
@@ -912,6 +1084,13 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether a call to the store would only wait: a heartbeat is late or overdue, or a call failed
+    /// recently.
+    fn is_store_away(&self, now: Instant) -> bool {
+        let session = *self.session();
+        self.is_store_paused() || session.mode(now) == SessionMode::Late || session.is_overdue(now)
+    }
+
     fn pause_store(&self) {
         let mut pause_end = self.lock_pause_end();
         *pause_end = Some(Instant::now() + STORE_PAUSE);
--- a/crates/forward/src/metric.rs
+++ b/crates/forward/src/metric.rs
@@ -18,6 +18,7 @@
 pub const METRIC_NAMES: &[&str] = &[
     "answers",
     "refusals",
+    "token_asks",
     "endpoint_rejections",
     "endpoint_losses",
     "answer_ms",
@@ -173,6 +174,12 @@
         let _ = counter.with_tag("reason", kind.code()).try_send();
     }
 
+    /// Counts a request that lacked tokens of its router, by what came of asking peers.
+    pub(crate) fn asked_tokens(&self, outcome: &str) {
+        let counter = self.client.count_with_tags("token_asks", 1);
+        let _ = counter.with_tag("outcome", outcome).try_send();
+    }
+
     /// Counts a request that an endpoint rejected.
     pub(crate) fn rejected(&self) {
         let _ = self.client.count("endpoint_rejections", 1);
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -7,7 +7,7 @@
 };
 
 use {
-    jasminewall_core::HolderId,
+    jasminewall_core::{HolderId, VmId},
     jasminewall_ports::RowPort,
     tokio::task::{AbortHandle, spawn},
 };
@@ -16,7 +16,7 @@
     fleet::FleetView,
     follow,
     forwarder::{Forwarder, StopWindow},
-    group::{self, PeerGroup},
+    group::{self, ALL_OWNERS_MAX, PeerGroup},
     link::LinkMeter,
     manager::BudgetManager,
     origin::StreamOrigins,
@@ -71,6 +71,7 @@
             address: setting.peer_listen,
             domain: setting.failure_domain.clone(),
             link_mbps: setting.link_mbps.unwrap_or_default() as u32,
+            has_supply_hints: true,
         };
         let view = Arc::new(FleetView::default());
         let peers = PeerGroup::new(setting.vm.clone(), record, ports.rows.clone());
@@ -95,7 +96,8 @@
         let on_peers_changed = {
             let (forwarder, budgets) = (forwarder.clone(), budgets.clone());
             let own = setting.vm.clone();
-            move |others, grant_owners| {
+            move |others: Vec<VmId>, grant_owners| {
+                budgets.set_large(others.len() >= ALL_OWNERS_MAX);
                 forwarder.set_routers(own.clone(), others);
                 budgets.set_owner_count(grant_owners);
             }
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -27,6 +27,7 @@
     notice::FleetNotice,
     record::{EndpointRecord, FleetConfig},
     session::Heartbeat,
+    supply::SupplyAnswer,
 };
 
 /// Longest wait for a peer; round trips within a region take a few milliseconds.
@@ -44,6 +45,9 @@
     /// Speed of the VM's network link in Mbit/s, rounded down; 0 if unknown.
     #[serde(default)]
     pub link_mbps: u32,
+    /// Whether the router answers [`RouterPeer::give_or_hint`]; earlier versions do not.
+    #[serde(default)]
+    pub has_supply_hints: bool,
 }
 
 /// Last heartbeat of a router run.
@@ -88,6 +92,9 @@
     async fn record_draw(customer: CustomerId, record: DrawRecord) -> bool;
     /// Asks for the known draws of a customer, to start an era of the store.
     async fn report_draws(customer: CustomerId, era: StoreEra) -> DrawReport;
+    /// Asks for tokens of a customer; with fewer than `wanted`, the answer says when more are
+    /// expected.
+    async fn give_or_hint(customer: CustomerId, wanted: Tokens) -> SupplyAnswer;
 }
 
 #[derive(Clone)]
@@ -123,7 +130,7 @@
     }
 
     async fn deposit(self, _: context::Context, customer: CustomerId, tokens: Tokens) {
-        self.budgets.receive(&customer, tokens);
+        self.budgets.take_back(&customer, tokens);
         tracing::info!(%customer, tokens, "a peer handed over tokens");
     }
 
@@ -150,6 +157,22 @@
         tracing::info!(%customer, wanted, given, "gave tokens to a peer");
         given
     }
+
+    async fn give_or_hint(
+        self,
+        _: context::Context,
+        customer: CustomerId,
+        wanted: Tokens,
+    ) -> SupplyAnswer {
+        let answer = self.budgets.give_or_hint(&customer, wanted).await;
+        let SupplyAnswer { given, lent, .. } = answer;
+        let outlook = (given < wanted).then_some(answer.outlook);
+        tracing::info!(
+            %customer, wanted, given, lent, outlook = outlook.map(tracing::field::debug),
+            more_in_ms = answer.more_in_ms, "gave tokens to a peer"
+        );
+        answer
+    }
 }
 
 /// Starts to serve other routers, for as long as this one runs.
--- a/crates/forward/tests/restored_store.rs
+++ b/crates/forward/tests/restored_store.rs
@@ -16,6 +16,7 @@
     jasminewall_forward::{
         BudgetManager, DepositOutcome, PredecessorEnd, TokenPeers,
         draws::{DrawRecord, DrawSurvey, acks_needed},
+        supply::SupplyOutcome,
     },
     jasminewall_ports::{
         Error, MemoryRows, PortFuture, RowCopy, RowFault, RowKey, RowPage, RowPort, RowReply,
@@ -156,6 +157,7 @@
     fleet: Fleet,
     own: usize,
     rows: Arc<RouterRows>,
+    is_large: bool,
 }
 
 impl FleetPeers {
@@ -182,7 +184,7 @@
 
 impl TokenPeers for FleetPeers {
     fn is_owner(&self, _: &CustomerId) -> bool {
-        true
+        !self.is_large || self.own.is_multiple_of(3)
     }
 
     fn ask<'a>(
@@ -190,15 +192,16 @@
         customer: &'a CustomerId,
         minimum: Tokens,
         wanted: Tokens,
-    ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>> {
+    ) -> Pin<Box<dyn Future<Output = SupplyOutcome> + Send + 'a>> {
         Box::pin(async move {
-            let mut received = 0;
+            let mut outcome = SupplyOutcome::default();
             for router in self.reachable() {
-                if received < minimum {
-                    received += router.give(customer, wanted - received).await;
+                if outcome.given < minimum {
+                    let wanted = wanted.saturating_sub(outcome.given);
+                    outcome.add(router.give_or_hint(customer, wanted).await);
                 }
             }
-            received
+            outcome
         })
     }
 
@@ -243,7 +246,7 @@
         let Some(router) = self.reachable().into_iter().next() else {
             return Box::pin(async { DepositOutcome::NotSent });
         };
-        router.receive(customer, tokens);
+        router.take_back(customer, tokens);
         Box::pin(async { DepositOutcome::Accepted })
     }
 }
@@ -255,16 +258,19 @@
     copies: Vec<RowCopy>,
     /// Run of the last start of each router, and the era in which its last heartbeat was written.
     runs: Vec<(u64, StoreEra)>,
+    /// Whether only every third router owns a grant, as in a large fleet.
+    is_large: bool,
     spent: Tokens,
 }
 
 impl Schedule {
-    async fn start(routers: usize) -> Self {
+    async fn start(routers: usize, is_large: bool) -> Self {
         let mut schedule = Self {
             rows: MemoryRows::new(),
             fleet: Fleet::default(),
             copies: Vec::new(),
             runs: vec![(0, 0); routers],
+            is_large,
             spent: 0,
         };
         schedule.fleet.lock().routers = vec![None; routers];
@@ -282,6 +288,7 @@
             fleet: self.fleet.clone(),
             own: router,
             rows: rows.clone(),
+            is_large: self.is_large,
         };
         let manager = BudgetManager::new(
             HolderId::new(format!("vm-{router}"), boot + 1),
@@ -289,6 +296,7 @@
             Arc::new(peers),
         );
         manager.set_owner_count(self.runs.len());
+        manager.set_large(self.is_large);
         let late = Duration::ZERO;
         manager.set_predecessor(match boot {
             0 => PredecessorEnd::Unknown,
@@ -363,7 +371,7 @@
 
 async fn play_schedule(seed: u64, routers: usize, steps: usize) -> Tokens {
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut schedule = Schedule::start(routers).await;
+    let mut schedule = Schedule::start(routers, seed % 2 == 1).await;
     for _ in 0..steps {
         schedule.step(&mut rng).await;
     }
@@ -409,7 +417,7 @@
 /// Guards against draws from a pool of which no router remembers the lost time.
 #[tokio::test]
 async fn tokens_that_may_be_spent_are_not_granted_after_all_routers_were_killed() {
-    let mut schedule = Schedule::start(3).await;
+    let mut schedule = Schedule::start(3, false).await;
     let first = schedule.router(0).expect("the router is up");
     schedule.spent += spend(&first.manager, 1_000).await;
     let copy = schedule.rows.copy();
--- a/crates/forward/tests/support/peers.rs
+++ b/crates/forward/tests/support/peers.rs
@@ -2,7 +2,11 @@
 
 use std::{
     pin::Pin,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
 };
 
 use {
@@ -10,6 +14,7 @@
     jasminewall_forward::{
         BudgetManager, DepositOutcome, TokenPeers,
         draws::{DrawRecord, DrawSurvey},
+        supply::SupplyOutcome,
     },
     jasminewall_ports::StoreEra,
 };
@@ -33,8 +38,8 @@
         _: &'a CustomerId,
         _: Tokens,
         _: Tokens,
-    ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>> {
-        Box::pin(async { 0 })
+    ) -> Pin<Box<dyn Future<Output = SupplyOutcome> + Send + 'a>> {
+        Box::pin(async { SupplyOutcome::default() })
     }
 
     fn keeps_draws(&self) -> Option<bool> {
@@ -83,8 +88,12 @@
         customer: &'a CustomerId,
         _: Tokens,
         wanted: Tokens,
-    ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>> {
-        Box::pin(self.0.give(customer, wanted))
+    ) -> Pin<Box<dyn Future<Output = SupplyOutcome> + Send + 'a>> {
+        Box::pin(async move {
+            let mut outcome = SupplyOutcome::default();
+            outcome.add(self.0.give_or_hint(customer, wanted).await);
+            outcome
+        })
     }
 
     fn keeps_draws(&self) -> Option<bool> {
@@ -112,11 +121,71 @@
         customer: &'a CustomerId,
         tokens: Tokens,
     ) -> Pin<Box<dyn Future<Output = DepositOutcome> + Send + 'a>> {
-        self.0.receive(customer, tokens);
+        self.0.take_back(customer, tokens);
         Box::pin(async { DepositOutcome::Accepted })
     }
 }
 
+/// Like [`OwnerPeer`], over a slow link.
+#[allow(
+    dead_code,
+    reason = "not every test file that shares this module needs it"
+)]
+pub(crate) struct SlowOwnerPeer {
+    pub(crate) owner: OwnerPeer,
+    /// Time that an answer takes.
+    pub(crate) delay: Duration,
+    /// Number of calls.
+    pub(crate) asked: AtomicU32,
+}
+
+impl TokenPeers for SlowOwnerPeer {
+    fn is_owner(&self, _: &CustomerId) -> bool {
+        false
+    }
+
+    fn ask<'a>(
+        &'a self,
+        customer: &'a CustomerId,
+        minimum: Tokens,
+        wanted: Tokens,
+    ) -> Pin<Box<dyn Future<Output = SupplyOutcome> + Send + 'a>> {
+        self.asked.fetch_add(1, Ordering::Relaxed);
+        Box::pin(async move {
+            tokio::time::sleep(self.delay).await;
+            self.owner.ask(customer, minimum, wanted).await
+        })
+    }
+
+    fn keeps_draws(&self) -> Option<bool> {
+        self.owner.keeps_draws()
+    }
+
+    fn record_draw<'a>(
+        &'a self,
+        customer: &'a CustomerId,
+        record: DrawRecord,
+    ) -> Pin<Box<dyn Future<Output = bool> + Send + 'a>> {
+        self.owner.record_draw(customer, record)
+    }
+
+    fn survey_draws<'a>(
+        &'a self,
+        customer: &'a CustomerId,
+        era: StoreEra,
+    ) -> Pin<Box<dyn Future<Output = Option<DrawSurvey>> + Send + 'a>> {
+        self.owner.survey_draws(customer, era)
+    }
+
+    fn deposit<'a>(
+        &'a self,
+        customer: &'a CustomerId,
+        tokens: Tokens,
+    ) -> Pin<Box<dyn Future<Output = DepositOutcome> + Send + 'a>> {
+        self.owner.deposit(customer, tokens)
+    }
+}
+
 /// Peers without tokens that record what they were asked for.
 #[allow(
     dead_code,
@@ -138,10 +207,10 @@
         _: &'a CustomerId,
         minimum: Tokens,
         wanted: Tokens,
-    ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>> {
+    ) -> Pin<Box<dyn Future<Output = SupplyOutcome> + Send + 'a>> {
         let mut calls = self.calls.lock().expect("no holder panicked");
         calls.push((minimum, wanted));
-        Box::pin(async { 0 })
+        Box::pin(async { SupplyOutcome::default() })
     }
 
     fn keeps_draws(&self) -> Option<bool> {
