Ask for tokens before requests lack them

A router without a grant asked ahead once in 0.4 s, and only when a request already lacked tokens, so that most requests of a busy customer waited for an owner.

It now tops up what it keeps, still 0.4 s of its own demand, in the background when half of it is used, with one ask ahead at a time.

--- a/crates/forward/src/budget.rs
+++ b/crates/forward/src/budget.rs
@@ -55,8 +55,8 @@
     pub(crate) limit: SpendLimit,
     /// Limits of account changes that may have been committed or may still be.
     pub(crate) pending_limits: Vec<SpendLimit>,
-    /// End of the period whose demand peers were already asked to cover.
-    pub(crate) ahead_until: Option<Instant>,
+    /// Whether peers are being asked for tokens of future demand.
+    pub(crate) asking_ahead: bool,
     /// Size of the last request, of a caller or of a peer.
     pub(crate) last_amount: Tokens,
     /// Tokens given to peers.
@@ -192,14 +192,27 @@
         (pool.until > now && missing > pool.free).then(|| pool.shortage_of(amount))
     }
 
-    /// Tokens of future demand to ask peers for, beyond what a request lacks. It is 0 for owners,
-    /// which have their own grants, and for concurrent requests after the first one.
-    pub(crate) fn ask_ahead(&mut self, is_owner: bool, now: Instant) -> Tokens {
-        if is_owner || self.ahead_until.is_some_and(|until| now < until) {
+    /// Tokens of future demand to ask peers for, beyond what a request lacks, of a router that has
+    /// `spendable` ones. It is 0 for owners, which have their own grants, and for concurrent requests
+    /// after the first one. If it is more, `asking_ahead` must be unset after the answers.
+    pub(crate) fn ask_ahead(&mut self, is_owner: bool, spendable: Tokens, now: Instant) -> Tokens {
+        if is_owner || self.asking_ahead {
             return 0;
         }
-        self.ahead_until = Some(now + ASK_AHEAD_TIME);
-        self.expected_soon(now)
+        let ahead = self.expected_soon(now).saturating_sub(spendable);
+        self.asking_ahead = ahead > 0;
+        ahead
+    }
+
+    /// Like [`Self::ask_ahead`], for a router whose tokens still cover its requests: 0 while at least
+    /// half of what it keeps is left, and while peers recently had nothing.
+    pub(crate) fn ask_early(&mut self, spendable: Tokens, now: Instant) -> Tokens {
+        let kept = self.expected_soon(now);
+        let ahead = kept.saturating_sub(spendable);
+        if spendable >= kept / 2 || self.supply.shortage(ahead, now).is_some() {
+            return 0;
+        }
+        self.ask_ahead(false, spendable, now)
     }
 
     /// Tokens that a router without a grant needs within [`ASK_AHEAD_TIME`]; 0 if that is less than
--- a/crates/forward/src/manager.rs
+++ b/crates/forward/src/manager.rs
@@ -323,6 +323,7 @@
         budget.state().last_amount = amount;
         if let Some(hold) = self.try_hold(&budget, request, amount) {
             self.maybe_refill(&budget);
+            self.maybe_ask_early(&budget);
             return Ok(hold);
         }
         let is_owner = self.peers.is_owner(customer);
@@ -453,13 +454,21 @@
             return Some(known);
         }
         let is_owner = self.peers.is_owner(&customer);
-        let ahead = budget.state().ask_ahead(is_owner, Instant::now());
+        let spendable = if self.is_large() {
+            self.spendable(&customer).saturating_sub(amount)
+        } else {
+            0
+        };
+        let ahead = budget
+            .state()
+            .ask_ahead(is_owner, spendable, Instant::now());
         let asker = budget.clone();
         let call = tokio::spawn(async move {
             let outcome = manager.peers.ask(&customer, missing, missing + ahead).await;
             manager.receive(&customer, outcome.given);
             let mut state = asker.state();
             state.supply.record(missing, outcome, Instant::now());
+            state.asking_ahead &= ahead == 0;
             outcome
         });
         let outcome = match timeout_at(deadline.into(), call).await {
@@ -479,6 +488,34 @@
         outcome
     }
 
+    /// Asks peers for tokens of future demand before a request lacks them, if this router owns no
+    /// grant and has used half of what it keeps.
+    fn maybe_ask_early(self: &Arc<Self>, budget: &Arc<CustomerBudget>) {
+        if !self.is_large() || self.peers.is_owner(&budget.customer) {
+            return;
+        }
+        let spendable = self.spendable(&budget.customer);
+        let ahead = budget.state().ask_early(spendable, Instant::now());
+        if ahead == 0 {
+            return;
+        }
+        let (manager, budget) = (self.clone(), budget.clone());
+        tokio::spawn(async move {
+            let customer = &budget.customer;
+            // The first owner that has any is enough; a request that lacks tokens asks all.
+            let outcome = manager.peers.ask(customer, 1, ahead).await;
+            manager.receive(customer, outcome.given);
+            let mut state = budget.state();
+            if outcome.given == 0 {
+                state.supply.record(ahead, outcome, Instant::now());
+            }
+            state.asking_ahead = false;
+            drop(state);
+            manager.count_ask("early");
+            tracing::debug!(%customer, ahead, given = outcome.given, "asked peers for tokens early");
+        });
+    }
+
     /// Gives tokens to a peer that has a request to serve. A router that owns a grant first refills
     /// it and opens more of it if necessary.
     pub async fn give(self: &Arc<Self>, customer: &CustomerId, wanted: Tokens) -> Tokens {
--- a/crates/forward/tests/supply.rs
+++ b/crates/forward/tests/supply.rs
@@ -201,3 +201,42 @@
     lent.take_back(5_000, now);
     assert_eq!(lent.recent(now), 0);
 }
+
+/// Guards against requests of a busy customer that each wait for an owner, and against a router that
+/// keeps more of its tokens than 0.4 s of demand.
+#[tokio::test]
+async fn a_router_with_many_requests_asks_before_it_lacks_tokens() {
+    let rows = MemoryRows::new();
+    let owner = router(&rows, "vm-1", Arc::new(peers::NoPeers));
+    drop(
+        hold(&owner, 100)
+            .await
+            .expect("the budget covers the request"),
+    );
+    let slow = Arc::new(peers::SlowOwnerPeer {
+        owner: peers::OwnerPeer(owner.clone()),
+        delay: 20 * MS,
+        asked: AtomicU32::new(0),
+    });
+    let asking = router(&rows, "vm-2", slow.clone());
+    tokio::spawn(asking.clone().hand_over_leftovers());
+    let (mut waited, mut kept, mut asked_before) = (0, 0, 0);
+    for number in 0..150 {
+        let begin = Instant::now();
+        let held = hold(&asking, 100).await;
+        held.expect("the owner gives tokens").set_charge(100);
+        // By then the measured demand covers a few requests ahead.
+        if number == 75 {
+            asked_before = slow.asked.load(Ordering::Relaxed);
+        }
+        if number >= 75 {
+            waited += u32::from(begin.elapsed() >= 15 * MS);
+            kept = kept.max(asking.spendable(&customer()));
+        }
+        tokio::time::sleep(10 * MS).await;
+    }
+    let asked = slow.asked.load(Ordering::Relaxed) - asked_before;
+    assert!(waited <= 4 && asked <= 25, "{waited} waited, {asked} asked");
+    // 0.4 s of at most 100 requests a second.
+    assert!(kept <= 4_000, "{kept} tokens kept");
+}
