Serve customers while accounts are written after an outage

Refusals went on for 4 to 6 s after the store was back. A router that attached again wrote its overdrawn accounts one after the other, and none of the others might consume tokens meanwhile.

In fleets over 16 routers the accounts are now written, and the grants refilled, eight at a time while the open tokens still grow; then the router attaches. The pause of calls to the store ends when it responds. Owners count tokens that they are asked for and cannot give as demand.

--- a/crates/forward/src/group.rs
+++ b/crates/forward/src/group.rs
@@ -561,7 +561,8 @@
                     continue;
                 };
                 let wanted = wanted.saturating_sub(outcome.given);
-                let call = give(&client, &target, customer, wanted);
+                let is_first = outcome.answers == 0;
+                let call = give(&client, &target, customer, wanted, is_first);
                 // Tokens in a lost response stay unused, so the budget is not overspent.
                 match timeout(GIVE_TIMEOUT, call).await {
                     Ok(Some(answer)) => outcome.add(answer),
@@ -672,10 +673,11 @@
     target: &PeerTarget,
     customer: &CustomerId,
     wanted: Tokens,
+    is_first: bool,
 ) -> Option<SupplyAnswer> {
     let context = context_with_timeout(GIVE_TIMEOUT);
     if target.has_supply_hints {
-        let answer = client.give_or_hint(context, customer.clone(), wanted);
+        let answer = client.give_or_hint(context, customer.clone(), wanted, is_first);
         return answer.await.ok();
     }
     let given = client.give(context, customer.clone(), wanted).await.ok()?;
@@ -781,8 +783,13 @@
     }
 }
 
-/// Attaches to the store again after an outage: first writes all accounts, then the heartbeat.
+/// Attaches to the store again after an outage: first writes all accounts, then the heartbeat. In a
+/// large fleet the accounts are written before the open tokens stop to grow, and then those that were
+/// overdrawn meanwhile.
 async fn reattach(group: &PeerGroup, budgets: &BudgetManager) {
+    if !budgets.write_before_attach().await {
+        return;
+    }
     budgets.session().begin_attach();
     if !budgets.write_overdrawn().await {
         budgets.session().cancel_attach();
--- a/crates/forward/src/manager.rs
+++ b/crates/forward/src/manager.rs
@@ -33,6 +33,7 @@
 };
 
 mod era;
+mod reattach;
 
 /// Share of the remaining tokens that all routers together hold at most. It covers a store outage
 /// of a quarter of the time for which a budget lasts, at twice the usual demand. The rest is still
@@ -350,6 +351,9 @@
         if hold.is_none() {
             // Peers may have given a part of the tokens.
             self.note_leftover(customer.clone());
+            if is_owner && self.is_large() {
+                budget.state().demand_rate.add(amount, Instant::now());
+            }
         }
         hold.ok_or_else(|| self.final_shortage(&budget, amount, shortage, supply))
     }
@@ -519,6 +523,16 @@
     /// Gives tokens to a peer that has a request to serve. A router that owns a grant first refills
     /// it and opens more of it if necessary.
     pub async fn give(self: &Arc<Self>, customer: &CustomerId, wanted: Tokens) -> Tokens {
+        self.give_counted(customer, wanted, false).await
+    }
+
+    /// Like [`Self::give`]. With `counts_unmet`, the tokens that are not given count as demand too.
+    async fn give_counted(
+        self: &Arc<Self>,
+        customer: &CustomerId,
+        wanted: Tokens,
+        counts_unmet: bool,
+    ) -> Tokens {
         let budget = self.budget(customer);
         budget.state().last_amount = wanted;
         let is_owner = self.peers.is_owner(customer);
@@ -534,7 +548,8 @@
         if is_owner {
             let now = Instant::now();
             let mut state = budget.state();
-            state.demand_rate.add(given, now);
+            let demand = if counts_unmet { wanted } else { given };
+            state.demand_rate.add(demand, now);
             state.lent.lend(given, now);
             drop(state);
             self.maybe_refill(&budget);
@@ -542,13 +557,16 @@
         given
     }
 
-    /// Like [`Self::give`]. An owner of a grant that gives fewer tokens says when it expects more.
+    /// Like [`Self::give`]. An owner of a grant that gives fewer tokens says when it expects more. If
+    /// it is the first router that is asked, tokens that it does not give count as demand too, so that
+    /// the growth of its open tokens follows the demand and not what it could give.
     pub async fn give_or_hint(
         self: &Arc<Self>,
         customer: &CustomerId,
         wanted: Tokens,
+        is_first: bool,
     ) -> SupplyAnswer {
-        let given = self.give(customer, wanted).await;
+        let given = self.give_counted(customer, wanted, is_first).await;
         let budget = self.budget(customer);
         let (now, missing) = (Instant::now(), wanted.saturating_sub(given));
         let pool_shortage = self.known_shortage(&budget, wanted, now);
@@ -614,26 +632,6 @@
         *self.predecessor() = Some(end);
     }
 
-    /// Writes all accounts that consumed more than they left open. Returns `false` if a write
-    /// failed.
-    pub async fn write_overdrawn(&self) -> bool {
-        let budgets: Vec<Arc<CustomerBudget>> = self.budgets().values().cloned().collect();
-        for budget in budgets {
-            if self.consumed(&budget) <= budget.state().allowed(Duration::ZERO) {
-                continue;
-            }
-            let mut account = budget.account.lock().await;
-            if self
-                .commit_change(&budget, &mut account, 0, |_| 0)
-                .await
-                .is_err()
-            {
-                return false;
-            }
-        }
-        true
-    }
-
     /// Tokens consumed, held and given to peers so far.
     fn consumed(&self, budget: &CustomerBudget) -> Tokens {
         let given = budget.state().given;
@@ -1125,7 +1123,13 @@
     /// recently.
     fn is_store_away(&self, now: Instant) -> bool {
         let session = *self.session();
-        self.is_store_paused() || session.mode(now) == SessionMode::Late || session.is_overdue(now)
+        let is_quiet = match session.mode(now) {
+            SessionMode::Late => true,
+            SessionMode::Attached => session.is_overdue(now),
+            // The store has responded after the outage.
+            SessionMode::Attaching => false,
+        };
+        self.is_store_paused() || is_quiet
     }
 
     fn pause_store(&self) {
--- a/crates/forward/src/manager/era.rs
+++ b/crates/forward/src/manager/era.rs
@@ -23,7 +23,7 @@
 
 /// Number of accounts that are written into a new era at a time. Each may wait for routers that do
 /// not answer.
-const ENTER_CONCURRENCY: usize = 8;
+pub(super) const ENTER_CONCURRENCY: usize = 8;
 
 impl BudgetManager {
     /// Reads the accounts of customers whose earlier draws this router does not know, so that it can
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -93,8 +93,8 @@
     /// Asks for the known draws of a customer, to start an era of the store.
     async fn report_draws(customer: CustomerId, era: StoreEra) -> DrawReport;
     /// Asks for tokens of a customer; with fewer than `wanted`, the answer says when more are
-    /// expected.
-    async fn give_or_hint(customer: CustomerId, wanted: Tokens) -> SupplyAnswer;
+    /// expected. `is_first` tells whether no other router was asked for them before.
+    async fn give_or_hint(customer: CustomerId, wanted: Tokens, is_first: bool) -> SupplyAnswer;
 }
 
 #[derive(Clone)]
@@ -163,8 +163,9 @@
         _: context::Context,
         customer: CustomerId,
         wanted: Tokens,
+        is_first: bool,
     ) -> SupplyAnswer {
-        let answer = self.budgets.give_or_hint(&customer, wanted).await;
+        let answer = self.budgets.give_or_hint(&customer, wanted, is_first).await;
         let SupplyAnswer { given, lent, .. } = answer;
         let outlook = (given < wanted).then_some(answer.outlook);
         tracing::info!(
--- a/crates/forward/tests/restored_store.rs
+++ b/crates/forward/tests/restored_store.rs
@@ -198,7 +198,8 @@
             for router in self.reachable() {
                 if outcome.given < minimum {
                     let wanted = wanted.saturating_sub(outcome.given);
-                    outcome.add(router.give_or_hint(customer, wanted).await);
+                    let is_first = outcome.answers == 0;
+                    outcome.add(router.give_or_hint(customer, wanted, is_first).await);
                 }
             }
             outcome
@@ -331,6 +332,7 @@
                     if rng.random_bool(0.5) {
                         manager.learn_draws(&[(customer(), PREPAID)]).await;
                         manager.enter_era().await;
+                        manager.write_before_attach().await;
                     }
                     self.spent += spend(&manager, rng.random_range(1..8) * 500).await;
                 }
--- a/crates/forward/tests/support/peers.rs
+++ b/crates/forward/tests/support/peers.rs
@@ -91,7 +91,7 @@
     ) -> Pin<Box<dyn Future<Output = SupplyOutcome> + Send + 'a>> {
         Box::pin(async move {
             let mut outcome = SupplyOutcome::default();
-            outcome.add(self.0.give_or_hint(customer, wanted).await);
+            outcome.add(self.0.give_or_hint(customer, wanted, true).await);
             outcome
         })
     }
