Take over and refill grants soon after the loss of all routers

When the store failed the first attempt to take over an account, the next one came 2 s later, and the grant was refilled another 2 s later, so that tokens were out of use for longer than 3 s.

takeover: grants_are_taken_over_and_refilled_soon_after_a_failed_attempt failed before and passes. restored_store, reattach, supply, large_fleet and budget pass.

--- a/crates/forward/src/manager.rs
+++ b/crates/forward/src/manager.rs
@@ -52,6 +52,9 @@
 const GIVE_REFILL_TIMEOUT: Duration = Duration::from_millis(60);
 /// Interval at which a stopping router checks whether the store responds.
 const STORE_POLL: Duration = Duration::from_millis(20);
+/// Time after which a router tries again to take over accounts in a large fleet, whose routers may all
+/// start together. The tokens must be usable within 3 s, and a failure pauses calls for 0.5 s.
+const INHERIT_RETRY: Duration = Duration::from_millis(250);
 /// Interval at which a starting router checks whether it can take over the accounts of the previous
 /// run.
 const INHERIT_POLL: Duration = Duration::from_millis(50);
@@ -789,9 +792,23 @@
                     self.rebalance_budget(&budget).await;
                 }
             }
+            if self.is_large() && self.has_untaken_accounts() {
+                tick.reset_after(INHERIT_RETRY);
+            }
         }
     }
 
+    /// Whether accounts of the previous run may not be taken over yet.
+    fn has_untaken_accounts(&self) -> bool {
+        self.may_inherit()
+            && self.budgets().values().any(|budget| {
+                let account = budget.account.try_lock();
+                account.map_or(true, |account| {
+                    !account.is_known() || account.holds_previous_run()
+                })
+            })
+    }
+
     /// Whether the previous run left accounts that can be taken over.
     fn may_inherit(&self) -> bool {
         matches!(*self.predecessor(), Some(PredecessorEnd::Attached { .. }))
@@ -925,11 +942,15 @@
                 // The grant and the pool together do not cover the request.
                 break;
             }
+            let may_draw = AtomicBool::new(false);
             self.commit_change(budget, &mut account, amount, |account| {
+                may_draw.store(true, Ordering::Relaxed);
                 self.draw_amount(budget, account, amount)
             })
             .await?;
-            if amount == 0 || self.covers(budget, amount) {
+            // The change that takes over an account draws nothing.
+            let draws_next = !may_draw.into_inner() && self.is_large();
+            if (amount == 0 && !draws_next) || (amount > 0 && self.covers(budget, amount)) {
                 return Ok(());
             }
         }
--- a/crates/forward/src/manager/era.rs
+++ b/crates/forward/src/manager/era.rs
@@ -36,23 +36,33 @@
             self.has_learned_draws.store(true, Ordering::Relaxed);
             return;
         }
-        let mut learned = !prepaid_budgets.is_empty();
-        for (customer, prepaid) in prepaid_budgets {
-            let budget = self.budget(customer);
+        let reads = stream::iter(prepaid_budgets.to_vec()).map(async |(customer, prepaid)| {
+            let budget = self.budget(&customer);
             if budget.state().knows_earlier_draws {
-                continue;
+                return true;
             }
             if self.is_store_paused() {
-                return;
+                return false;
             }
-            budget.raise_prepaid(*prepaid);
+            budget.raise_prepaid(prepaid);
             let mut account = budget.account.lock().await;
-            if let Err(shortage) = self.read_accounts(&budget, &mut account).await {
+            let read = self.read_accounts(&budget, &mut account).await;
+            if let Err(shortage) = read {
                 tracing::debug!(%customer, ?shortage, "failed to read the draws of a customer");
-                learned = false;
             }
-        }
-        if learned {
+            read.is_ok()
+        });
+        // A starting router of a large fleet takes over its accounts after these reads.
+        let concurrency = if self.is_large() {
+            ENTER_CONCURRENCY
+        } else {
+            1
+        };
+        let learned = reads
+            .buffer_unordered(concurrency)
+            .fold(true, async |all, read| all && read)
+            .await;
+        if learned && !prepaid_budgets.is_empty() {
             self.has_learned_draws.store(true, Ordering::Relaxed);
         }
     }
