Let owners give at once while the store is away

An owner that was short waited 60 ms for a store that did not answer before each answer, and a refill that took longer was cancelled, which left the outcome of its transaction unknown.

--- a/crates/forward/src/manager.rs
+++ b/crates/forward/src/manager.rs
@@ -16,6 +16,7 @@
     rand::Rng,
     tokio::{
         sync::{Mutex as AsyncMutex, Notify},
+        task::JoinHandle,
         time::timeout_at,
     },
 };
@@ -394,17 +395,7 @@
             // with its own.
             return BudgetShortage::HeldElsewhere;
         }
-        let (manager, budget, request) = (self.clone(), budget.clone(), request.clone());
-        // A cancelled transaction has an unknown outcome, so it may take longer than the request
-        // waits. Its tokens serve later requests.
-        let refill = tokio::spawn(async move {
-            let refill = manager.refill(Some(&request), &budget, amount);
-            let refilled = tokio::time::timeout(SUPPLY_TIMEOUT, refill).await;
-            refilled.unwrap_or_else(|_| {
-                manager.pause_store();
-                Err(BudgetShortage::StoreAway)
-            })
-        });
+        let refill = self.refill_detached(Some(request.clone()), budget, amount);
         match timeout_at(deadline.into(), refill).await {
             Ok(Ok(Err(shortage))) => shortage,
             Ok(Ok(Ok(()))) => BudgetShortage::HeldElsewhere,
@@ -412,6 +403,25 @@
         }
     }
 
+    /// Starts a refill that goes on if the caller stops to wait for it: a cancelled transaction has an
+    /// unknown outcome. Its tokens serve later requests.
+    fn refill_detached(
+        self: &Arc<Self>,
+        request: Option<RequestId>,
+        budget: &Arc<CustomerBudget>,
+        amount: Tokens,
+    ) -> JoinHandle<Result<(), BudgetShortage>> {
+        let (manager, budget) = (self.clone(), budget.clone());
+        tokio::spawn(async move {
+            let refill = manager.refill(request.as_ref(), &budget, amount);
+            let refilled = tokio::time::timeout(SUPPLY_TIMEOUT, refill).await;
+            refilled.unwrap_or_else(|_| {
+                manager.pause_store();
+                Err(BudgetShortage::StoreAway)
+            })
+        })
+    }
+
     /// Why a request gets no tokens. In a large fleet a budget is spent only if tokens that owners
     /// lent to other routers would not cover the request either.
     fn final_shortage(
@@ -545,7 +555,12 @@
         if is_owner && may_open && !self.covers(&budget, wanted) && budget.state().prepaid > 0 {
             let deadline = Instant::now() + GIVE_REFILL_TIMEOUT;
             // A shortage reduces the given tokens.
-            let _ = timeout_at(deadline.into(), self.refill(None, &budget, wanted)).await;
+            if !self.is_large() {
+                let _ = timeout_at(deadline.into(), self.refill(None, &budget, wanted)).await;
+            } else if !self.is_store_away(Instant::now()) {
+                let refill = self.refill_detached(None, &budget, wanted);
+                let _ = timeout_at(deadline.into(), refill).await;
+            }
         }
         let given = self.withdraw(&budget, wanted);
         if is_owner {
--- a/crates/forward/tests/reattach.rs
+++ b/crates/forward/tests/reattach.rs
@@ -7,7 +7,9 @@
 
 use {
     jasminewall_core::{CustomerId, HolderId, Tokens},
-    jasminewall_forward::{BudgetManager, PredecessorEnd, account::AccountRow},
+    jasminewall_forward::{
+        BudgetManager, PredecessorEnd, account::AccountRow, supply::SupplyOutlook,
+    },
     jasminewall_ports::{
         MemoryRows, PortFuture, RowFault, RowKey, RowPage, RowPort, RowReply, RowTransaction,
         StoreEra, StoredRow,
@@ -90,6 +92,13 @@
     for customer in &customers {
         while spend(&manager, customer, 2_000).await > 0 {}
     }
+    // An owner that the store does not answer gives what it may without a wait, even when the pause
+    // after the last failed call is over.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let begin = Instant::now();
+    let answer = manager.give_or_hint(&customers[0], 100_000, true).await;
+    assert!(begin.elapsed() < BUSY_TIME / 2, "{:?}", begin.elapsed());
+    assert_eq!(answer.outlook, SupplyOutlook::StoreAway);
     // Refills that began meanwhile fail.
     tokio::time::sleep(BUSY_TIME * 2).await;
     rows.set_fault(RowFault::None);
