--- a/crates/forward/src/budget.rs
+++ b/crates/forward/src/budget.rs
@@ -13,6 +13,7 @@
     account::{AccountRow, CustomerAccount, late_tokens},
     draws::DrawMap,
     manager::BudgetShortage,
+    supply::{LentTokens, SupplyMemory},
 };
 
 /// The account is written again when fewer than the open tokens divided by this number are left.
@@ -54,14 +55,18 @@
     pub(crate) limit: SpendLimit,
     /// Limits of account changes that may have been committed or may still be.
     pub(crate) pending_limits: Vec<SpendLimit>,
-    /// End of the period whose demand peers were already asked to cover.
-    pub(crate) ahead_until: Option<Instant>,
+    /// Whether peers are being asked for tokens of future demand.
+    pub(crate) asking_ahead: bool,
     /// Size of the last request, of a caller or of a peer.
     pub(crate) last_amount: Tokens,
     /// Tokens given to peers.
     pub(crate) given: Tokens,
     /// Tokens received from peers.
     pub(crate) received: Tokens,
+    /// Tokens given to peers that may come back.
+    pub(crate) lent: LentTokens,
+    /// Last answers of peers that were asked for tokens.
+    pub(crate) supply: SupplyMemory,
     pub(crate) refilling: bool,
     /// Pool that recently had too few tokens.
     pub(crate) exhausted: Option<ExhaustedPool>,
@@ -81,7 +86,21 @@
     pub(crate) until: Instant,
     /// Free tokens in the pool.
     pub(crate) free: Tokens,
-    pub(crate) shortage: BudgetShortage,
+    /// All tokens that may still become available to a request here: those in the pool, of other
+    /// routers, and of this one including those that requests hold.
+    pub(crate) reachable: Tokens,
+}
+
+impl ExhaustedPool {
+    /// Why a request of `amount` tokens gets none. A smaller request than the one that led to the
+    /// read may be covered by tokens that are held elsewhere.
+    pub(crate) fn shortage_of(self, amount: Tokens) -> BudgetShortage {
+        if amount > self.reachable {
+            BudgetShortage::Spent
+        } else {
+            BudgetShortage::HeldElsewhere
+        }
+    }
 }
 
 /// Limit on consumption that an account row sets for its run.
@@ -161,20 +180,39 @@
         (IDLE_REQUESTS * self.last_amount).clamp(least, most)
     }
 
-    /// Why the pool recently had fewer than `missing` tokens.
-    pub(crate) fn shortage_at(&self, now: Instant, missing: Tokens) -> Option<BudgetShortage> {
+    /// Why a request of `amount` tokens, of which `missing` are not here, gets none, if the pool
+    /// recently had fewer than that.
+    pub(crate) fn shortage_at(
+        &self,
+        now: Instant,
+        amount: Tokens,
+        missing: Tokens,
+    ) -> Option<BudgetShortage> {
         let pool = self.exhausted?;
-        (pool.until > now && missing > pool.free).then_some(pool.shortage)
+        (pool.until > now && missing > pool.free).then(|| pool.shortage_of(amount))
+    }
+
+    /// Tokens of future demand to ask peers for, beyond what a request lacks, of a router that has
+    /// `spendable` ones. It is 0 for owners, which have their own grants, and for concurrent requests
+    /// after the first one. If it is more, `asking_ahead` must be unset after the answers.
+    pub(crate) fn ask_ahead(&mut self, is_owner: bool, spendable: Tokens, now: Instant) -> Tokens {
+        if is_owner || self.asking_ahead {
+            return 0;
+        }
+        let ahead = self.expected_soon(now).saturating_sub(spendable);
+        self.asking_ahead = ahead > 0;
+        ahead
     }
 
-    /// Tokens of future demand to ask peers for, beyond what a request lacks. It is 0 for owners,
-    /// which have their own grants, and for concurrent requests after the first one.
-    pub(crate) fn ask_ahead(&mut self, is_owner: bool, now: Instant) -> Tokens {
-        if is_owner || self.ahead_until.is_some_and(|until| now < until) {
+    /// Like [`Self::ask_ahead`], for a router whose tokens still cover its requests: 0 while at least
+    /// half of what it keeps is left, and while peers recently had nothing.
+    pub(crate) fn ask_early(&mut self, spendable: Tokens, now: Instant) -> Tokens {
+        let kept = self.expected_soon(now);
+        let ahead = kept.saturating_sub(spendable);
+        if spendable >= kept / 2 || self.supply.shortage(ahead, now).is_some() {
             return 0;
         }
-        self.ahead_until = Some(now + ASK_AHEAD_TIME);
-        self.expected_soon(now)
+        self.ask_ahead(false, spendable, now)
     }
 
     /// Tokens that a router without a grant needs within [`ASK_AHEAD_TIME`]; 0 if that is less than
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -33,6 +33,7 @@
 mod node;
 pub mod notice;
 pub mod origin;
+pub mod owner;
 pub mod peer;
 pub mod port;
 pub mod record;
@@ -43,6 +44,7 @@
 pub mod snapshot;
 mod sse;
 mod stream;
+pub mod supply;
 mod trial;
 pub mod warmup;
 
--- a/crates/forward/src/manager.rs
+++ b/crates/forward/src/manager.rs
@@ -3,7 +3,7 @@
     future::Future,
     pin::Pin,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
@@ -16,6 +16,7 @@
     rand::Rng,
     tokio::{
         sync::{Mutex as AsyncMutex, Notify},
+        task::JoinHandle,
         time::timeout_at,
     },
 };
@@ -24,11 +25,16 @@
     account::{AccountUsage, CustomerAccount, LoadedRows, SPEND_TABLE},
     budget::{CustomerBudget, ExhaustedPool, SpendLimit},
     draws::{DrawRecord, DrawSurvey, merge_totals},
+    metric::ForwardMetrics,
     port::SendCount,
     session::{SessionMode, StoreSession},
+    supply::{
+        OwnerState, SUPPLY_TIMEOUT, SupplyAnswer, SupplyOutcome, SupplyOutlook, spread_delay,
+    },
 };
 
 mod era;
+mod reattach;
 
 /// Share of the remaining tokens that all routers together hold at most. It covers a store outage
 /// of a quarter of the time for which a budget lasts, at twice the usual demand. The rest is still
@@ -47,6 +53,9 @@
 const GIVE_REFILL_TIMEOUT: Duration = Duration::from_millis(60);
 /// Interval at which a stopping router checks whether the store responds.
 const STORE_POLL: Duration = Duration::from_millis(20);
+/// Time after which a router tries again to take over accounts in a large fleet, whose routers may all
+/// start together. The tokens must be usable within 3 s, and a failure pauses calls for 0.5 s.
+const INHERIT_RETRY: Duration = Duration::from_millis(250);
 /// Interval at which a starting router checks whether it can take over the accounts of the previous
 /// run.
 const INHERIT_POLL: Duration = Duration::from_millis(50);
@@ -107,13 +116,13 @@
     /// Whether this router owns a grant of the customer, which it draws ahead of demand.
     fn is_owner(&self, customer: &CustomerId) -> bool;
     /// Asks peers for up to `wanted` tokens of a customer, until they have given `minimum`. Returns
-    /// how many they gave.
+    /// how many they gave, and when they expect more.
     fn ask<'a>(
         &'a self,
         customer: &'a CustomerId,
         minimum: Tokens,
         wanted: Tokens,
-    ) -> Pin<Box<dyn Future<Output = Tokens> + Send + 'a>>;
+    ) -> Pin<Box<dyn Future<Output = SupplyOutcome> + Send + 'a>>;
     /// Whether this router remembers draws for others; `None` until it knows the other routers.
     fn keeps_draws(&self) -> Option<bool>;
     /// Tells the routers that remember draws of one. Returns whether enough of them know it; see
@@ -159,6 +168,9 @@
     predecessor: Mutex<Option<PredecessorEnd>>,
     /// Number of routers that own a grant of each customer.
     owner_count: AtomicU64,
+    /// Whether only some routers of the fleet own grants.
+    is_large: AtomicBool,
+    metrics: OnceLock<ForwardMetrics>,
     /// Id of the next hold in the ledger.
     next_hold: AtomicU64,
     /// Set when the router stops; nothing is drawn from then on.
@@ -254,6 +266,8 @@
             has_learned_draws: AtomicBool::new(false),
             predecessor: Mutex::default(),
             owner_count: AtomicU64::new(1),
+            is_large: AtomicBool::new(false),
+            metrics: OnceLock::new(),
             next_hold: AtomicU64::new(0),
             closed: AtomicBool::new(false),
             leftovers: Mutex::default(),
@@ -267,6 +281,28 @@
         self.owner_count.store(owner_count, Ordering::Relaxed);
     }
 
+    /// Sets whether only some routers of the fleet own grants. Routers of such a fleet remember what
+    /// peers answered and bound their waits by the target latency.
+    pub fn set_large(&self, is_large: bool) {
+        self.is_large.store(is_large, Ordering::Relaxed);
+    }
+
+    /// See [`Self::set_large`].
+    pub fn is_large(&self) -> bool {
+        self.is_large.load(Ordering::Relaxed)
+    }
+
+    /// Sets where asks for tokens are counted. Later calls have no effect.
+    pub(crate) fn set_metrics(&self, metrics: ForwardMetrics) {
+        let _ = self.metrics.set(metrics);
+    }
+
+    fn count_ask(&self, outcome: &str) {
+        if let Some(metrics) = self.metrics.get() {
+            metrics.asked_tokens(outcome);
+        }
+    }
+
     /// Tokens of a customer that new requests can hold without a draw from the store.
     pub fn spendable(&self, customer: &CustomerId) -> Tokens {
         self.ledger().spendable(customer)
@@ -292,32 +328,26 @@
         budget.state().last_amount = amount;
         if let Some(hold) = self.try_hold(&budget, request, amount) {
             self.maybe_refill(&budget);
+            self.maybe_ask_early(&budget);
             return Ok(hold);
         }
-        if !self.peers.is_owner(customer) {
-            self.ask_peers(request, &budget, amount, None, deadline)
+        let is_owner = self.peers.is_owner(customer);
+        let mut supply = None;
+        if !is_owner {
+            supply = self
+                .ask_peers(request, &budget, amount, None, deadline)
                 .await;
             if let Some(hold) = self.try_hold(&budget, request, amount) {
                 return Ok(hold);
             }
         }
-        let known_shortage = self.known_shortage(&budget, amount, now);
-        let shortage = if let Some(shortage) = known_shortage {
-            shortage
-        } else {
-            match timeout_at(deadline.into(), self.refill(Some(request), &budget, amount)).await {
-                Ok(Ok(())) => BudgetShortage::HeldElsewhere,
-                Ok(Err(shortage)) => shortage,
-                Err(_) => {
-                    self.pause_store();
-                    BudgetShortage::StoreAway
-                }
-            }
-        };
+        let shortage = self
+            .draw(request, &budget, amount, supply, now, deadline)
+            .await;
         if let Some(hold) = self.try_hold(&budget, request, amount) {
             return Ok(hold);
         }
-        if shortage != BudgetShortage::Spent && self.peers.is_owner(customer) {
+        if shortage != BudgetShortage::Spent && is_owner {
             self.ask_peers(request, &budget, amount, Some(shortage), deadline)
                 .await;
         }
@@ -325,42 +355,197 @@
         if hold.is_none() {
             // Peers may have given a part of the tokens.
             self.note_leftover(customer.clone());
+            if is_owner && self.is_large() {
+                budget.state().demand_rate.add(amount, Instant::now());
+            }
         }
-        hold.ok_or(shortage)
+        hold.ok_or_else(|| self.final_shortage(&budget, amount, shortage, supply))
     }
 
-    /// Asks peers for the tokens that a request lacks. Tokens that arrive after `deadline` serve
-    /// later requests.
-    async fn ask_peers(
+    /// Draws the tokens that a request lacks from the pool. Returns why the request gets none if it
+    /// still lacks some.
+    async fn draw(
         self: &Arc<Self>,
         request: &RequestId,
+        budget: &Arc<CustomerBudget>,
+        amount: Tokens,
+        supply: Option<SupplyOutcome>,
+        now: Instant,
+        deadline: Instant,
+    ) -> BudgetShortage {
+        if let Some(shortage) = self.known_shortage(budget, amount, now) {
+            return shortage;
+        }
+        if !self.is_large() {
+            let refill = self.refill(Some(request), budget, amount);
+            return match timeout_at(deadline.into(), refill).await {
+                Ok(Ok(())) => BudgetShortage::HeldElsewhere,
+                Ok(Err(shortage)) => shortage,
+                Err(_) => {
+                    self.pause_store();
+                    BudgetShortage::StoreAway
+                }
+            };
+        }
+        if self.is_store_away(Instant::now()) {
+            return BudgetShortage::StoreAway;
+        }
+        if supply.is_some_and(|supply| supply.outlook == SupplyOutlook::Writing) {
+            // An owner draws from the pool. Draws of all routers that lack tokens would conflict
+            // with its own.
+            return BudgetShortage::HeldElsewhere;
+        }
+        let refill = self.refill_detached(Some(request.clone()), budget, amount);
+        match timeout_at(deadline.into(), refill).await {
+            Ok(Ok(Err(shortage))) => shortage,
+            Ok(Ok(Ok(()))) => BudgetShortage::HeldElsewhere,
+            Ok(Err(_)) | Err(_) => BudgetShortage::StoreAway,
+        }
+    }
+
+    /// Starts a refill that goes on if the caller stops to wait for it: a cancelled transaction has an
+    /// unknown outcome. Its tokens serve later requests.
+    fn refill_detached(
+        self: &Arc<Self>,
+        request: Option<RequestId>,
+        budget: &Arc<CustomerBudget>,
+        amount: Tokens,
+    ) -> JoinHandle<Result<(), BudgetShortage>> {
+        let (manager, budget) = (self.clone(), budget.clone());
+        tokio::spawn(async move {
+            let refill = manager.refill(request.as_ref(), &budget, amount);
+            let refilled = tokio::time::timeout(SUPPLY_TIMEOUT, refill).await;
+            refilled.unwrap_or_else(|_| {
+                manager.pause_store();
+                Err(BudgetShortage::StoreAway)
+            })
+        })
+    }
+
+    /// Why a request gets no tokens. In a large fleet a budget is spent only if tokens that owners
+    /// lent to other routers would not cover the request either.
+    fn final_shortage(
+        &self,
         budget: &CustomerBudget,
         amount: Tokens,
+        shortage: BudgetShortage,
+        supply: Option<SupplyOutcome>,
+    ) -> BudgetShortage {
+        if shortage != BudgetShortage::Spent || !self.is_large() {
+            return shortage;
+        }
+        let state = budget.state();
+        let is_owner_heard = supply.is_some_and(|supply| supply.answers > 0);
+        let lent = state.lent.recent(Instant::now()) + supply.map_or(0, |supply| supply.lent);
+        let reachable = state.exhausted.map_or(0, |pool| pool.reachable) + lent;
+        // Tokens that an owner gave since it wrote its account count twice.
+        let reachable = reachable.min(state.prepaid);
+        let is_owner = self.peers.is_owner(&budget.customer);
+        if amount > reachable && (is_owner || is_owner_heard) {
+            BudgetShortage::Spent
+        } else {
+            BudgetShortage::HeldElsewhere
+        }
+    }
+
+    /// Asks peers for the tokens that a request lacks, unless they recently had too few. Tokens that
+    /// arrive after `deadline` serve later requests. Returns the answers, if they came in time.
+    async fn ask_peers(
+        self: &Arc<Self>,
+        request: &RequestId,
+        budget: &Arc<CustomerBudget>,
+        amount: Tokens,
         shortage: Option<BudgetShortage>,
         deadline: Instant,
-    ) {
+    ) -> Option<SupplyOutcome> {
         let (manager, customer) = (self.clone(), budget.customer.clone());
         let missing = amount.saturating_sub(self.allowance(budget).min(self.spendable(&customer)));
+        if self.is_large()
+            && let Some(known) = budget.state().supply.shortage(missing, Instant::now())
+        {
+            tracing::info!(
+                %request, %customer, missing, outlook = ?known.outlook,
+                "peers recently had too few tokens; not asked again"
+            );
+            self.count_ask("remembered");
+            return Some(known);
+        }
         let is_owner = self.peers.is_owner(&customer);
-        let ahead = budget.state().ask_ahead(is_owner, Instant::now());
+        let spendable = if self.is_large() {
+            self.spendable(&customer).saturating_sub(amount)
+        } else {
+            0
+        };
+        let ahead = budget
+            .state()
+            .ask_ahead(is_owner, spendable, Instant::now());
+        let asker = budget.clone();
         let call = tokio::spawn(async move {
-            let given = manager.peers.ask(&customer, missing, missing + ahead).await;
-            manager.receive(&customer, given);
-            given
+            let outcome = manager.peers.ask(&customer, missing, missing + ahead).await;
+            manager.receive(&customer, outcome.given);
+            let mut state = asker.state();
+            state.supply.record(missing, outcome, Instant::now());
+            state.asking_ahead &= ahead == 0;
+            outcome
         });
-        let given = match timeout_at(deadline.into(), call).await {
-            Ok(Ok(given)) => Some(given),
+        let outcome = match timeout_at(deadline.into(), call).await {
+            Ok(Ok(outcome)) => Some(outcome),
             _ => None,
         };
+        let given = outcome.map(|outcome| outcome.given);
+        self.count_ask(match given {
+            Some(given) if given >= missing => "served",
+            Some(_) => "short",
+            None => "late",
+        });
         tracing::info!(
             %request, customer = %budget.customer, missing, given,
             shortage = shortage.map(tracing::field::debug), "asked peers for tokens"
         );
+        outcome
+    }
+
+    /// Asks peers for tokens of future demand before a request lacks them, if this router owns no
+    /// grant and has used half of what it keeps.
+    fn maybe_ask_early(self: &Arc<Self>, budget: &Arc<CustomerBudget>) {
+        if !self.is_large() || self.peers.is_owner(&budget.customer) {
+            return;
+        }
+        let spendable = self.spendable(&budget.customer);
+        let ahead = budget.state().ask_early(spendable, Instant::now());
+        if ahead == 0 {
+            return;
+        }
+        let (manager, budget) = (self.clone(), budget.clone());
+        tokio::spawn(async move {
+            let customer = &budget.customer;
+            // The first owner that has any is enough; a request that lacks tokens asks all.
+            let outcome = manager.peers.ask(customer, 1, ahead).await;
+            manager.receive(customer, outcome.given);
+            let mut state = budget.state();
+            if outcome.given == 0 {
+                state.supply.record(ahead, outcome, Instant::now());
+            }
+            state.asking_ahead = false;
+            drop(state);
+            manager.count_ask("early");
+            tracing::debug!(%customer, ahead, given = outcome.given, "asked peers for tokens early");
+        });
     }
 
     /// Gives tokens to a peer that has a request to serve. A router that owns a grant first refills
     /// it and opens more of it if necessary.
     pub async fn give(self: &Arc<Self>, customer: &CustomerId, wanted: Tokens) -> Tokens {
+        self.give_counted(customer, wanted, false).await
+    }
+
+    /// Like [`Self::give`]. With `counts_unmet`, the tokens that are not given count as demand too.
+    async fn give_counted(
+        self: &Arc<Self>,
+        customer: &CustomerId,
+        wanted: Tokens,
+        counts_unmet: bool,
+    ) -> Tokens {
         let budget = self.budget(customer);
         budget.state().last_amount = wanted;
         let is_owner = self.peers.is_owner(customer);
@@ -370,16 +555,60 @@
         if is_owner && may_open && !self.covers(&budget, wanted) && budget.state().prepaid > 0 {
             let deadline = Instant::now() + GIVE_REFILL_TIMEOUT;
             // A shortage reduces the given tokens.
-            let _ = timeout_at(deadline.into(), self.refill(None, &budget, wanted)).await;
+            if !self.is_large() {
+                let _ = timeout_at(deadline.into(), self.refill(None, &budget, wanted)).await;
+            } else if !self.is_store_away(Instant::now()) {
+                let refill = self.refill_detached(None, &budget, wanted);
+                let _ = timeout_at(deadline.into(), refill).await;
+            }
         }
         let given = self.withdraw(&budget, wanted);
         if is_owner {
-            budget.state().demand_rate.add(given, Instant::now());
+            let now = Instant::now();
+            let mut state = budget.state();
+            let demand = if counts_unmet { wanted } else { given };
+            state.demand_rate.add(demand, now);
+            state.lent.lend(given, now);
+            drop(state);
             self.maybe_refill(&budget);
         }
         given
     }
 
+    /// Like [`Self::give`]. An owner of a grant that gives fewer tokens says when it expects more. If
+    /// it is the first router that is asked, tokens that it does not give count as demand too, so that
+    /// the growth of its open tokens follows the demand and not what it could give.
+    pub async fn give_or_hint(
+        self: &Arc<Self>,
+        customer: &CustomerId,
+        wanted: Tokens,
+        is_first: bool,
+    ) -> SupplyAnswer {
+        let given = self.give_counted(customer, wanted, is_first).await;
+        let budget = self.budget(customer);
+        let (now, missing) = (Instant::now(), wanted.saturating_sub(given));
+        let pool_shortage = self.known_shortage(&budget, wanted, now);
+        let spendable = self.spendable(customer);
+        let is_store_away = self.is_store_away(now);
+        let state = budget.state();
+        if missing == 0 || state.prepaid == 0 || !self.peers.is_owner(customer) {
+            return SupplyAnswer {
+                given,
+                ..SupplyAnswer::default()
+            };
+        }
+        let pool_read_at = state.exhausted.map(|pool| pool.until);
+        let pool_read_in = pool_read_at.map(|at| at.saturating_duration_since(now));
+        let owner = OwnerState {
+            missing,
+            spendable,
+            late_rate: state.limit.late_rate,
+            is_store_away,
+            pool_read_in: pool_shortage.and(pool_read_in),
+        };
+        owner.answer(given, state.lent.recent(now))
+    }
+
     /// Takes up to `wanted` tokens out of the ledger, but no more than may be consumed before the
     /// next write of the account.
     fn withdraw(&self, budget: &CustomerBudget, wanted: Tokens) -> Tokens {
@@ -398,9 +627,18 @@
         self.session.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// When a request that was refused for lack of tokens may succeed.
-    pub fn retry_at(&self, now: Instant) -> Instant {
-        now + RETRY_AFTER
+    /// When a request that was refused for lack of tokens may succeed: when an owner of a grant
+    /// expects more. In a large fleet the returns of several callers are spread.
+    pub fn retry_at(&self, customer: Option<&CustomerId>, now: Instant) -> Instant {
+        if !self.is_large() {
+            return now + RETRY_AFTER;
+        }
+        let more_at = customer.and_then(|customer| {
+            let budget = self.budgets().get(customer).cloned();
+            budget?.state().supply.more_at(now)
+        });
+        let delay = more_at.map_or(RETRY_AFTER, |at| at - now);
+        now + spread_delay(delay, rand::random())
     }
 
     /// Sets how the previous run ended. No account is changed before this is known.
@@ -412,26 +650,6 @@
         *self.predecessor() = Some(end);
     }
 
-    /// Writes all accounts that consumed more than they left open. Returns `false` if a write
-    /// failed.
-    pub async fn write_overdrawn(&self) -> bool {
-        let budgets: Vec<Arc<CustomerBudget>> = self.budgets().values().cloned().collect();
-        for budget in budgets {
-            if self.consumed(&budget) <= budget.state().allowed(Duration::ZERO) {
-                continue;
-            }
-            let mut account = budget.account.lock().await;
-            if self
-                .commit_change(&budget, &mut account, 0, |_| 0)
-                .await
-                .is_err()
-            {
-                return false;
-            }
-        }
-        true
-    }
-
     /// Tokens consumed, held and given to peers so far.
     fn consumed(&self, budget: &CustomerBudget) -> Tokens {
         let given = budget.state().given;
@@ -548,6 +766,13 @@
             && !session.is_overdue(now)
     }
 
+    /// Adds tokens that a peer hands back or over.
+    pub fn take_back(&self, customer: &CustomerId, tokens: Tokens) {
+        let budget = self.budget(customer);
+        budget.state().lent.take_back(tokens, Instant::now());
+        self.receive(customer, tokens);
+    }
+
     /// Adds tokens that a peer gave or handed over.
     pub fn receive(&self, customer: &CustomerId, tokens: Tokens) {
         let budget = self.budget(customer);
@@ -582,9 +807,23 @@
                     self.rebalance_budget(&budget).await;
                 }
             }
+            if self.is_large() && self.has_untaken_accounts() {
+                tick.reset_after(INHERIT_RETRY);
+            }
         }
     }
 
+    /// Whether accounts of the previous run may not be taken over yet.
+    fn has_untaken_accounts(&self) -> bool {
+        self.may_inherit()
+            && self.budgets().values().any(|budget| {
+                let account = budget.account.try_lock();
+                account.map_or(true, |account| {
+                    !account.is_known() || account.holds_previous_run()
+                })
+            })
+    }
+
     /// Whether the previous run left accounts that can be taken over.
     fn may_inherit(&self) -> bool {
         matches!(*self.predecessor(), Some(PredecessorEnd::Attached { .. }))
@@ -718,11 +957,15 @@
                 // The grant and the pool together do not cover the request.
                 break;
             }
+            let may_draw = AtomicBool::new(false);
             self.commit_change(budget, &mut account, amount, |account| {
+                may_draw.store(true, Ordering::Relaxed);
                 self.draw_amount(budget, account, amount)
             })
             .await?;
-            if amount == 0 || self.covers(budget, amount) {
+            // The change that takes over an account draws nothing.
+            let draws_next = !may_draw.into_inner() && self.is_large();
+            if (amount == 0 && !draws_next) || (amount > 0 && self.covers(budget, amount)) {
                 return Ok(());
             }
         }
@@ -734,22 +977,23 @@
         // Only a fresh read of all accounts can prove that the budget is spent.
         self.read_accounts(budget, &mut account).await?;
         let prepaid = budget.state().prepaid;
-        let reachable =
-            account.free(prepaid) + account.others_unspent() + self.spendable(&budget.customer);
-        let shortage = if amount > reachable {
-            BudgetShortage::Spent
-        } else {
-            BudgetShortage::HeldElsewhere
+        let own = {
+            let ledger = self.ledger();
+            // Requests may not use all that they hold.
+            ledger.spendable(&budget.customer) + ledger.held(&budget.customer)
+        };
+        let own = own + account.unconfirmed() + account.pending_return();
+        let pool = ExhaustedPool {
+            until: Instant::now() + EXHAUSTED_PAUSE,
+            free: account.free(prepaid),
+            reachable: account.free(prepaid) + account.others_unspent() + own,
         };
+        let shortage = pool.shortage_of(amount);
         tracing::info!(
             request = request.map(|id| id.as_str()), customer = %budget.customer, amount, prepaid, free = account.free(prepaid),
             others = account.others_unspent(), ?shortage, "the total does not cover a request"
         );
-        budget.state().exhausted = Some(ExhaustedPool {
-            until: Instant::now() + EXHAUSTED_PAUSE,
-            free: account.free(prepaid),
-            shortage,
-        });
+        budget.state().exhausted = Some(pool);
         Err(shortage)
     }
 
@@ -898,7 +1142,7 @@
         now: Instant,
     ) -> Option<BudgetShortage> {
         let missing = amount.saturating_sub(self.spendable(&budget.customer));
-        budget.state().shortage_at(now, missing)
+        budget.state().shortage_at(now, amount, missing)
     }
 
     fn covers(&self, budget: &CustomerBudget, amount: Tokens) -> bool {
@@ -911,6 +1155,19 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether a call to the store would only wait: a heartbeat is late or overdue, or a call failed
+    /// recently.
+    fn is_store_away(&self, now: Instant) -> bool {
+        let session = *self.session();
+        let is_quiet = match session.mode(now) {
+            SessionMode::Late => true,
+            SessionMode::Attached => session.is_overdue(now),
+            // The store has responded after the outage.
+            SessionMode::Attaching => false,
+        };
+        self.is_store_paused() || is_quiet
+    }
+
     fn pause_store(&self) {
         let mut pause_end = self.lock_pause_end();
         *pause_end = Some(Instant::now() + STORE_PAUSE);
