Move the cost of an endpoint into a module of its own

balancer.rs has over 750 lines and mixes what is known of endpoints with what follows from it. placement.rs now has the query, the cost terms, and the selection of the compared endpoints, as pure functions. No change of behaviour: the tests choice and allowance pass unchanged.

--- a/crates/forward/src/balancer.rs
+++ b/crates/forward/src/balancer.rs
@@ -1,22 +1,26 @@
 use std::{
     collections::{HashMap, HashSet},
-    net::SocketAddr,
     time::{Duration, Instant},
 };
 
 use {
     jasminewall_core::{DomainId, EndpointId, Tokens, VmId},
-    rand::{Rng, seq::index},
+    rand::Rng,
     serde::{Deserialize, Serialize},
-    xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed},
+    xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
 use crate::{
     allowance::{AllowanceTable, LimitSharing, RateReport, RunId, SendPermit},
     group::NEIGHBOUR_LIMIT,
+    placement::{
+        COMPARE_ALL_MAX, Candidate, EngineFit, EngineOutlook, Placement, PlacementQuery,
+        RUNNING_COST_MS, home_engines, prefix_chain, rank_candidates, select_candidates,
+        shared_tokens,
+    },
     port::{EndpointLoad, EndpointSignals},
     record::EndpointRecord,
-    request::{PromptPart, PromptSpec},
+    request::PromptSpec,
 };
 
 /// Prompt tokens that an engine reads per millisecond, assumed until a prompt was measured.
@@ -24,26 +28,13 @@
 /// Smallest uncached prompt, in tokens, that is used to measure the prefill rate. Network time and
 /// the first decoding step dominate shorter ones.
 const MEASURED_TOKENS_MIN: Tokens = 4_000;
-/// Cost in ms of reading a token of a shared prompt part that another engine has cached, in
-/// addition to the reading time. The operators rate a thousand such tokens as bad as a delay of a
-/// quarter of a second, for a request whose first event is due after a second.
-const REREAD_COST_MS: f64 = 0.25;
 /// A prompt is long when reading the request's own part takes more than this share of the pause
 /// that its route allows between events. Other streams on the same engine would pause too long.
 const LONG_PROMPT_SHARE: f64 = 0.5;
-/// Cost in ms of a short request at an engine that is reserved for long prompts.
-const RESERVED_COST_MS: f64 = 200.0;
-/// Cost of a long prompt at an engine that runs other requests, per running request, as a share of
-/// the time to read the prompt.
-const INTERFERENCE_SHARE: f64 = 0.5;
 /// At most one in this many engines is reserved for long prompts.
 const RESERVED_DIVISOR: usize = 3;
 /// Smallest number of engines at which some are reserved for long prompts.
 const RESERVED_MIN_ENGINES: usize = 4;
-/// Cost in ms of each request that already runs at an engine.
-const RUNNING_COST_MS: f64 = 1.0;
-/// Cost in ms of each request that waits at an engine; about the time to read an average prompt.
-const WAITING_COST_MS: f64 = 60.0;
 /// Cost in ms of using an endpoint of another failure domain, for the longer round trip and the
 /// price of the traffic.
 const CROSS_DOMAIN_COST_MS: f64 = 5.0;
@@ -75,15 +66,6 @@
 /// Age at which the load reported by another router is dropped. Routers repeat loads above zero
 /// every second.
 const LOAD_EXPIRY: Duration = Duration::from_secs(3);
-/// Number of endpoints up to which a decision compares all of them.
-const COMPARE_ALL_MAX: usize = 32;
-/// Number of random endpoints among those that a decision compares in a larger fleet.
-const RANDOM_CANDIDATES: usize = 16;
-/// Number of engines compared because they may cache the shared parts of a prompt: the first by
-/// rendezvous hashing, and those that take its place while it is busy or blocked.
-const HOME_CANDIDATES: usize = 4;
-/// Largest number of endpoints compared because a connection to them is open.
-const CONNECTED_CANDIDATES: usize = 12;
 /// Interval at which this router's share of the endpoints' rate limits is updated, and the weight of
 /// the new share. It follows the demand within two seconds.
 const SHARE_INTERVAL: Duration = Duration::from_millis(250);
@@ -92,36 +74,6 @@
 /// same endpoint.
 const JITTER: f64 = 0.05;
 
-/// Requirements of a request on its endpoint.
-#[derive(Clone, Copy, Debug)]
-pub struct PlacementQuery<'a> {
-    /// Prompt, if the endpoint is a model engine.
-    pub prompt: Option<&'a PromptSpec>,
-    /// Longest acceptable pause between two events.
-    pub max_gap: Option<Duration>,
-    /// Endpoints that were already tried.
-    pub excluded: &'a [EndpointId],
-    /// Addresses to which an idle connection is open; `None` if they are not preferred.
-    pub connected: Option<&'a HashSet<SocketAddr>>,
-}
-
-/// Chosen endpoint, with the values that the choice is logged with.
-#[derive(Clone, Debug)]
-pub struct Placement {
-    /// Registration of the chosen endpoint.
-    pub record: EndpointRecord,
-    /// Expected cost in ms.
-    pub cost_ms: f64,
-    /// Expected time to the first part of the response in ms.
-    pub wait_ms: f64,
-    /// Second-best endpoint and its cost in ms.
-    pub runner_up: Option<(EndpointId, f64)>,
-    /// Prompt tokens that the endpoint has probably not cached.
-    pub uncached: Tokens,
-    /// Age of the endpoint's last load report.
-    pub report_age: Option<Duration>,
-}
-
 /// Request in flight at an endpoint, as counted by the [`LoadBalancer`].
 #[derive(Clone, Debug)]
 pub struct InFlight {
@@ -326,19 +278,6 @@
     }
 }
 
-/// Hashes of all prefixes of a prompt, each with its length in tokens.
-fn prefix_chain(parts: &[PromptPart]) -> Vec<(u64, Tokens)> {
-    let mut hash = Xxh3::new();
-    let mut tokens = 0;
-    let mut chain = Vec::with_capacity(parts.len());
-    for part in parts {
-        hash.update(&part.id.to_le_bytes());
-        tokens += part.tokens;
-        chain.push((hash.digest(), tokens));
-    }
-    chain
-}
-
 impl LoadBalancer {
     /// Creates a balancer without any observations for a router in a failure domain.
     pub fn new(domain: DomainId) -> Self {
@@ -410,7 +349,7 @@
         let unreserved = candidates.iter().copied();
         let unreserved = unreserved.filter(|record| !reserved_engines.contains(&record.id));
         let home = home_engines(&chain, unreserved, 1).pop();
-        let mut costs: Vec<(f64, Tokens, &EndpointRecord)> = Vec::with_capacity(candidates.len());
+        let mut ranked = Vec::with_capacity(candidates.len());
         for record in candidates {
             let stats = self.stats.get(&record.id)?;
             let (cost, uncached) = match query.prompt {
@@ -420,7 +359,7 @@
                         is_reserved: reserved_engines.contains(&record.id),
                         is_long,
                     };
-                    self.engine_cost(stats, prompt, &chain, fit, now)
+                    self.outlook(stats, &chain, now).cost(prompt, &chain, fit)
                 }
                 None => (self.service_cost(stats, record, now), 0),
             };
@@ -435,26 +374,26 @@
             };
             let failure = stats.failures.get(now) * FAILURE_COST_MS;
             let jitter = 1.0 + rng.random::<f64>() * JITTER;
-            costs.push((
-                (cost + cross_domain + connect + failure) * jitter,
-                uncached,
+            ranked.push(Candidate {
                 record,
-            ));
+                cost_ms: (cost + cross_domain + connect + failure) * jitter,
+                uncached,
+            });
         }
         if let Some(prompt) = query.prompt {
             self.record_demand(prompt.input_tokens, is_long);
         }
-        costs.sort_by(|left, right| left.0.total_cmp(&right.0));
-        let (cost_ms, uncached, record) = *costs.first()?;
-        let stats = self.stats.get(&record.id)?;
+        rank_candidates(&mut ranked);
+        let best = *ranked.first()?;
+        let stats = self.stats.get(&best.record.id)?;
         Some(Placement {
-            record: record.clone(),
-            cost_ms,
-            runner_up: costs
+            record: best.record.clone(),
+            cost_ms: best.cost_ms,
+            runner_up: ranked
                 .get(1)
-                .map(|(cost, _, other)| (other.id.clone(), *cost)),
-            uncached,
-            wait_ms: self.expected_ms(stats, uncached),
+                .map(|other| (other.record.id.clone(), other.cost_ms)),
+            uncached: best.uncached,
+            wait_ms: self.expected_ms(stats, best.uncached),
             report_age: stats
                 .load
                 .map(|(_, seen)| now.saturating_duration_since(seen)),
@@ -726,32 +665,21 @@
         self.long_prompt_share += (observed - self.long_prompt_share) * weight;
     }
 
-    fn engine_cost(
+    fn outlook(
         &self,
         stats: &EndpointStats,
-        prompt: &PromptSpec,
         chain: &[(u64, Tokens)],
-        fit: EngineFit,
         now: Instant,
-    ) -> (f64, Tokens) {
-        let shared = shared_tokens(chain);
-        let assumed = if fit.is_home { shared } else { 0 };
-        let cached_tokens = stats.cached_tokens(chain).max(assumed);
-        let uncached = prompt.input_tokens.saturating_sub(cached_tokens);
-        let (_, unread_tokens) = stats.known_load();
-        let read_ms = uncached as f64 / self.prefill_rate;
-        let wait_ms = unread_tokens as f64 / self.prefill_rate;
+    ) -> EngineOutlook {
         let (running, waiting) = stats.outstanding(now);
-        let load_ms = running * RUNNING_COST_MS + waiting * WAITING_COST_MS;
-        let reread = shared.saturating_sub(cached_tokens) as f64 * REREAD_COST_MS;
-        let misplaced = match (fit.is_long, fit.is_reserved) {
-            (true, false) => running * read_ms * INTERFERENCE_SHARE,
-            (false, true) => RESERVED_COST_MS,
-            _ => 0.0,
-        };
-        let slowdown = stats.slowdown(now);
-        let cost = (read_ms + wait_ms + load_ms) * slowdown + reread + misplaced;
-        (cost, uncached)
+        EngineOutlook {
+            prefill_rate: self.prefill_rate,
+            cached_tokens: stats.cached_tokens(chain),
+            unread_tokens: stats.known_load().1,
+            running,
+            waiting,
+            slowdown: stats.slowdown(now),
+        }
     }
 
     /// Time to the first event, without the slowdown of the engine.
@@ -789,76 +717,3 @@
         (stats.started_ms == in_flight.started_ms).then_some(stats)
     }
 }
-
-/// How well an engine suits a prompt.
-#[derive(Clone, Copy, Debug)]
-struct EngineFit {
-    /// Whether the engine is the one that caches the shared parts of the prompt.
-    is_home: bool,
-    /// Whether the engine is reserved for long prompts.
-    is_reserved: bool,
-    /// Whether the prompt is long.
-    is_long: bool,
-}
-
-/// Tokens of the shared parts of a prompt, which are all except the last one.
-fn shared_tokens(chain: &[(u64, Tokens)]) -> Tokens {
-    chain.len().checked_sub(2).map_or(0, |last| chain[last].1)
-}
-
-/// Endpoints to compare for a request: all of a small fleet. In a larger one the cost of a decision
-/// must not grow with the fleet, so these are the engines that may cache the prompt, some that are
-/// connected and some random ones.
-fn select_candidates<'a>(
-    records: &'a [EndpointRecord],
-    query: PlacementQuery<'_>,
-    chain: &[(u64, Tokens)],
-    rng: &mut impl Rng,
-) -> Vec<&'a EndpointRecord> {
-    if records.len() <= COMPARE_ALL_MAX {
-        return records.iter().collect();
-    }
-    let mut selected = home_engines(chain, records.iter(), HOME_CANDIDATES);
-    let mut add = |record: &'a EndpointRecord| {
-        if selected.iter().all(|other| other.id != record.id) {
-            selected.push(record);
-        }
-    };
-    // Starts at a random endpoint, so that not always the same connected ones are left out.
-    let (before, after) = records.split_at(rng.random_range(0..records.len()));
-    let is_connected = |record: &EndpointRecord| {
-        let connected = query.connected;
-        connected.is_some_and(|connected| connected.contains(&record.address))
-    };
-    let connected = after.iter().chain(before);
-    let connected = connected.filter(|record| is_connected(record));
-    connected.take(CONNECTED_CANDIDATES).for_each(&mut add);
-    let random = index::sample(rng, records.len(), RANDOM_CANDIDATES);
-    random
-        .into_iter()
-        .for_each(|position| add(&records[position]));
-    selected
-}
-
-/// Engines that cache the shared parts of a prompt, best first, by rendezvous hashing, so that all
-/// routers send requests with the same parts to the same engine.
-fn home_engines<'a>(
-    chain: &[(u64, Tokens)],
-    candidates: impl Iterator<Item = &'a EndpointRecord>,
-    limit: usize,
-) -> Vec<&'a EndpointRecord> {
-    let shared = chain.len().checked_sub(2).map(|last| chain[last].0);
-    let Some(hash) = shared else {
-        return Vec::new();
-    };
-    let mut homes: Vec<(u64, &EndpointRecord)> = Vec::with_capacity(limit + 1);
-    for record in candidates {
-        let rank = xxh3_64_with_seed(record.id.as_bytes(), hash);
-        let position = homes.partition_point(|(other, _)| *other >= rank);
-        if position < limit {
-            homes.truncate(limit - 1);
-            homes.insert(position, (rank, record));
-        }
-    }
-    homes.into_iter().map(|(_, record)| record).collect()
-}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod notice;
 pub mod origin;
 pub mod peer;
+mod placement;
 pub mod port;
 pub mod record;
 pub mod request;
@@ -43,7 +44,7 @@
 mod trial;
 
 pub use crate::{
-    balancer::{LoadBalancer, Placement, PlacementQuery, RouterLoad},
+    balancer::{LoadBalancer, RouterLoad},
     fleet::FleetView,
     forwarder::{Forwarder, StopWindow},
     link::LinkMeter,
@@ -52,6 +53,7 @@
     },
     metric::METRIC_NAMES,
     node::{ForwardNode, ForwardPorts},
+    placement::{Placement, PlacementQuery},
     setting::ForwardSetting,
     sse::{EventSplitter, StreamEvent},
 };
