Choose engines without enough memory last

An engine preempts requests when those that run there do not fit into its memory. KvCapacity of a service's Engine is read from the configuration (a value under one token counts as unknown, with a log line). In fleets of more than 16 routers an engine is chosen last if its known running requests and this one exceed it: own requests with their prompt and longest output, those that neighbours or the engine report with the mean size of this router's requests.

Tests: an_engine_without_enough_memory_is_chosen_last and the_memory_of_an_engine_is_read_or_unknown (platform).

--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -307,6 +307,7 @@
             customer: customer.map(|customer| customer.name),
             deadline,
             event_tokens: engine.map_or(1, |rule| rule.event_tokens.max(1)),
+            kv_capacity: engine.and_then(|rule| rule.kv_capacity),
             hold,
             priority: engine.map(|_| priority.unwrap_or(route.priority).min(9)),
             suspects,
@@ -641,6 +642,7 @@
                 latency: admitted.route.target_latency,
                 start_by: admitted.request.arrived + admitted.route.target_latency,
             }),
+            memory: admitted.kv_capacity.filter(|_| by_target),
         };
         let mut balancer = self.balancer();
         let chosen = balancer.choose(&records, query, now, &mut rand::rng());
