--- a/crates/forward/src/balancer.rs
+++ b/crates/forward/src/balancer.rs
@@ -1,22 +1,26 @@
 use std::{
     collections::{HashMap, HashSet},
-    net::SocketAddr,
     time::{Duration, Instant},
 };
 
 use {
     jasminewall_core::{DomainId, EndpointId, Tokens, VmId},
-    rand::{Rng, seq::index},
+    rand::Rng,
     serde::{Deserialize, Serialize},
-    xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed},
+    xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
 use crate::{
     allowance::{AllowanceTable, LimitSharing, RateReport, RunId, SendPermit},
     group::NEIGHBOUR_LIMIT,
+    placement::{
+        COMPARE_ALL_MAX, Candidate, EngineCost, EngineFit, EngineOutlook, Placement,
+        PlacementQuery, PrefillRate, RUNNING_COST_MS, RankRule, held_by, home_engines,
+        prefix_chain, select_candidates, shared_tokens,
+    },
     port::{EndpointLoad, EndpointSignals},
     record::EndpointRecord,
-    request::{PromptPart, PromptSpec},
+    request::PromptSpec,
 };
 
 /// Prompt tokens that an engine reads per millisecond, assumed until a prompt was measured.
@@ -24,26 +28,13 @@
 /// Smallest uncached prompt, in tokens, that is used to measure the prefill rate. Network time and
 /// the first decoding step dominate shorter ones.
 const MEASURED_TOKENS_MIN: Tokens = 4_000;
-/// Cost in ms of reading a token of a shared prompt part that another engine has cached, in
-/// addition to the reading time. The operators rate a thousand such tokens as bad as a delay of a
-/// quarter of a second, for a request whose first event is due after a second.
-const REREAD_COST_MS: f64 = 0.25;
 /// A prompt is long when reading the request's own part takes more than this share of the pause
 /// that its route allows between events. Other streams on the same engine would pause too long.
 const LONG_PROMPT_SHARE: f64 = 0.5;
-/// Cost in ms of a short request at an engine that is reserved for long prompts.
-const RESERVED_COST_MS: f64 = 200.0;
-/// Cost of a long prompt at an engine that runs other requests, per running request, as a share of
-/// the time to read the prompt.
-const INTERFERENCE_SHARE: f64 = 0.5;
 /// At most one in this many engines is reserved for long prompts.
 const RESERVED_DIVISOR: usize = 3;
 /// Smallest number of engines at which some are reserved for long prompts.
 const RESERVED_MIN_ENGINES: usize = 4;
-/// Cost in ms of each request that already runs at an engine.
-const RUNNING_COST_MS: f64 = 1.0;
-/// Cost in ms of each request that waits at an engine; about the time to read an average prompt.
-const WAITING_COST_MS: f64 = 60.0;
 /// Cost in ms of using an endpoint of another failure domain, for the longer round trip and the
 /// price of the traffic.
 const CROSS_DOMAIN_COST_MS: f64 = 5.0;
@@ -70,20 +61,17 @@
 const INITIAL_LATENCY_MS: f64 = 40.0;
 /// Prompt tokens over which the share of long prompts is averaged; a few hundred requests.
 const DEMAND_WINDOW_TOKENS: f64 = 500_000.0;
+/// Unread prompt tokens for each one that a neighbour reported, in fleets in which only neighbours
+/// report theirs. Most routers of such a fleet are no neighbours, and their prompts wait at the
+/// same engines.
+const UNKNOWN_UNREAD_FACTOR: Tokens = 2;
+/// Weight of a request in the average of the tokens that requests hold; it follows the last fifty.
+const HELD_WEIGHT: f64 = 0.02;
 /// Largest number of prompt prefixes that are remembered for an endpoint.
 const PREFIX_LIMIT: usize = 512;
 /// Age at which the load reported by another router is dropped. Routers repeat loads above zero
 /// every second.
 const LOAD_EXPIRY: Duration = Duration::from_secs(3);
-/// Number of endpoints up to which a decision compares all of them.
-const COMPARE_ALL_MAX: usize = 32;
-/// Number of random endpoints among those that a decision compares in a larger fleet.
-const RANDOM_CANDIDATES: usize = 16;
-/// Number of engines compared because they may cache the shared parts of a prompt: the first by
-/// rendezvous hashing, and those that take its place while it is busy or blocked.
-const HOME_CANDIDATES: usize = 4;
-/// Largest number of endpoints compared because a connection to them is open.
-const CONNECTED_CANDIDATES: usize = 12;
 /// Interval at which this router's share of the endpoints' rate limits is updated, and the weight of
 /// the new share. It follows the demand within two seconds.
 const SHARE_INTERVAL: Duration = Duration::from_millis(250);
@@ -92,42 +80,13 @@
 /// same endpoint.
 const JITTER: f64 = 0.05;
 
-/// Requirements of a request on its endpoint.
-#[derive(Clone, Copy, Debug)]
-pub struct PlacementQuery<'a> {
-    /// Prompt, if the endpoint is a model engine.
-    pub prompt: Option<&'a PromptSpec>,
-    /// Longest acceptable pause between two events.
-    pub max_gap: Option<Duration>,
-    /// Endpoints that were already tried.
-    pub excluded: &'a [EndpointId],
-    /// Addresses to which an idle connection is open; `None` if they are not preferred.
-    pub connected: Option<&'a HashSet<SocketAddr>>,
-}
-
-/// Chosen endpoint, with the values that the choice is logged with.
-#[derive(Clone, Debug)]
-pub struct Placement {
-    /// Registration of the chosen endpoint.
-    pub record: EndpointRecord,
-    /// Expected cost in ms.
-    pub cost_ms: f64,
-    /// Expected time to the first part of the response in ms.
-    pub wait_ms: f64,
-    /// Second-best endpoint and its cost in ms.
-    pub runner_up: Option<(EndpointId, f64)>,
-    /// Prompt tokens that the endpoint has probably not cached.
-    pub uncached: Tokens,
-    /// Age of the endpoint's last load report.
-    pub report_age: Option<Duration>,
-}
-
 /// Request in flight at an endpoint, as counted by the [`LoadBalancer`].
 #[derive(Clone, Debug)]
 pub struct InFlight {
     endpoint: EndpointId,
     started_ms: u64,
     uncached: Tokens,
+    held_tokens: Tokens,
     /// Whether the endpoint had no other unread prompt when the request was sent, as far as known.
     only_unread: bool,
     predicted_ms: f64,
@@ -171,6 +130,10 @@
     share_at: Option<Instant>,
     usual_latency_ms: f64,
     prefill_rate: f64,
+    /// Rate by which requests with a target latency are placed.
+    target_rate: PrefillRate,
+    /// Moving average of the tokens that a running request of a prompt may hold.
+    usual_held_tokens: f64,
     /// Moving average of the share of long prompts in all prompt tokens.
     long_prompt_share: f64,
     changed: HashSet<EndpointId>,
@@ -184,6 +147,8 @@
 struct EndpointStats {
     started_ms: u64,
     running: u32,
+    /// Tokens of this router's running requests, with those that they may generate.
+    held_tokens: Tokens,
     unread_tokens: Tokens,
     loads: HashMap<VmId, (RouterLoad, Instant)>,
     /// Sum of the running requests in `loads`.
@@ -238,6 +203,7 @@
         Self {
             started_ms,
             running: 0,
+            held_tokens: 0,
             unread_tokens: 0,
             loads: HashMap::new(),
             other_running: 0,
@@ -326,19 +292,6 @@
     }
 }
 
-/// Hashes of all prefixes of a prompt, each with its length in tokens.
-fn prefix_chain(parts: &[PromptPart]) -> Vec<(u64, Tokens)> {
-    let mut hash = Xxh3::new();
-    let mut tokens = 0;
-    let mut chain = Vec::with_capacity(parts.len());
-    for part in parts {
-        hash.update(&part.id.to_le_bytes());
-        tokens += part.tokens;
-        chain.push((hash.digest(), tokens));
-    }
-    chain
-}
-
 impl LoadBalancer {
     /// Creates a balancer without any observations for a router in a failure domain.
     pub fn new(domain: DomainId) -> Self {
@@ -351,6 +304,8 @@
             share_at: None,
             usual_latency_ms: INITIAL_LATENCY_MS,
             prefill_rate: INITIAL_PREFILL_RATE,
+            target_rate: PrefillRate::new(INITIAL_PREFILL_RATE),
+            usual_held_tokens: 0.0,
             long_prompt_share: 0.0,
             changed: HashSet::new(),
             last_message: HashMap::new(),
@@ -411,20 +366,30 @@
         let reserved_engines = self.reserved_engines(query, records, now);
         let unreserved = candidates.iter().copied();
         let unreserved = unreserved.filter(|record| !reserved_engines.contains(&record.id));
-        let home = home_engines(&chain, unreserved, 1).pop();
-        let mut costs: Vec<(f64, Tokens, &EndpointRecord)> = Vec::with_capacity(candidates.len());
+        let homes = home_engines(
+            &chain,
+            unreserved,
+            if query.target.is_some() { 2 } else { 1 },
+        );
+        let rate = self.rate_for(query);
+        let mut ranked = Vec::with_capacity(candidates.len());
         for record in candidates {
             let stats = self.stats.get(&record.id)?;
-            let (cost, uncached) = match query.prompt {
+            let expected = match query.prompt {
                 Some(prompt) => {
                     let fit = EngineFit {
-                        is_home: home.is_some_and(|home| home.id == record.id),
+                        is_home: homes.first().is_some_and(|home| home.id == record.id),
+                        is_next_home: homes.get(1).is_some_and(|home| home.id == record.id),
                         is_reserved: reserved_engines.contains(&record.id),
                         is_long,
                     };
-                    self.engine_cost(stats, prompt, &chain, fit, now)
+                    self.outlook(stats, query, &chain, now)
+                        .cost(prompt, &chain, fit)
                 }
-                None => (self.service_cost(stats, record, now), 0),
+                None => EngineCost {
+                    cost_ms: self.service_cost(stats, record, now),
+                    ..EngineCost::default()
+                },
             };
             let cross_domain = if record.domain == self.domain {
                 0.0
@@ -437,26 +402,34 @@
             };
             let failure = stats.failures.get(now) * FAILURE_COST_MS;
             let jitter = 1.0 + rng.random::<f64>() * JITTER;
-            costs.push((
-                (cost + cross_domain + connect + failure) * jitter,
-                uncached,
+            ranked.push(Candidate {
                 record,
-            ));
+                cost_ms: (expected.cost_ms + cross_domain + connect + failure) * jitter,
+                start_ms: (expected.start_ms + failure) * jitter,
+                uncached: expected.uncached,
+                fits: self.fits(stats, query, now),
+            });
         }
         if let Some(prompt) = query.prompt {
             self.record_demand(prompt.input_tokens, is_long);
         }
-        costs.sort_by(|left, right| left.0.total_cmp(&right.0));
-        let (cost_ms, uncached, record) = *costs.first()?;
-        let stats = self.stats.get(&record.id)?;
+        let shared = shared_tokens(&chain);
+        let own_tokens = query
+            .prompt
+            .map_or(0, |prompt| prompt.input_tokens.saturating_sub(shared));
+        let rule = RankRule::new(query, own_tokens, rate, now);
+        rule.sort(&mut ranked);
+        let best = *ranked.first()?;
+        let stats = self.stats.get(&best.record.id)?;
         Some(Placement {
-            record: record.clone(),
-            cost_ms,
-            runner_up: costs
+            record: best.record.clone(),
+            cost_ms: best.cost_ms,
+            runner_up: ranked
                 .get(1)
-                .map(|(cost, _, other)| (other.id.clone(), *cost)),
-            uncached,
-            wait_ms: self.expected_ms(stats, uncached),
+                .map(|other| (other.record.id.clone(), other.cost_ms)),
+            uncached: best.uncached,
+            outlook: rule.outlook(&best),
+            wait_ms: self.expected_ms(stats, best.uncached, rate),
             report_age: stats
                 .load
                 .map(|(_, seen)| now.saturating_duration_since(seen)),
@@ -559,11 +532,16 @@
     ) -> InFlight {
         let record = &placement.record;
         let usual_latency_ms = self.usual_latency_ms;
+        let held_tokens = prompt.map_or(0, held_by);
+        if prompt.is_some() {
+            self.usual_held_tokens += (held_tokens as f64 - self.usual_held_tokens) * HELD_WEIGHT;
+        }
         self.changed.insert(record.id.clone());
         self.allowances.take(record, now);
         let stats = self.stats_mut(record, now);
         let only_unread = stats.known_load().1 == 0;
         stats.running += 1;
+        stats.held_tokens += held_tokens;
         stats.unread_tokens += placement.uncached;
         let predicted_ms = match prompt {
             Some(prompt) => {
@@ -576,6 +554,7 @@
             endpoint: record.id.clone(),
             started_ms: record.started_ms,
             uncached: placement.uncached,
+            held_tokens,
             only_unread,
             predicted_ms,
             sent: now,
@@ -598,6 +577,7 @@
         if in_flight.only_unread && in_flight.uncached >= MEASURED_TOKENS_MIN {
             let rate = in_flight.uncached as f64 / taken_ms.max(1.0);
             self.prefill_rate += (rate - self.prefill_rate) * 0.1;
+            self.target_rate.observe(rate);
         }
         if in_flight.uncached == 0 {
             self.usual_latency_ms += (taken_ms - self.usual_latency_ms) * 0.05;
@@ -625,6 +605,7 @@
             return;
         };
         stats.running = stats.running.saturating_sub(1);
+        stats.held_tokens = stats.held_tokens.saturating_sub(in_flight.held_tokens);
         if !in_flight.responded {
             stats.unread_tokens = stats.unread_tokens.saturating_sub(in_flight.uncached);
         }
@@ -734,38 +715,52 @@
         self.long_prompt_share += (observed - self.long_prompt_share) * weight;
     }
 
-    fn engine_cost(
+    /// Prompt tokens that an engine reads per ms, for the placement of a request.
+    fn rate_for(&self, query: PlacementQuery<'_>) -> f64 {
+        match query.target {
+            Some(_) => self.target_rate.get(),
+            None => self.prefill_rate,
+        }
+    }
+
+    /// Whether a request fits into the memory of an engine beside those that are known to run there.
+    /// Requests of other routers count with the usual size.
+    fn fits(&self, stats: &EndpointStats, query: PlacementQuery<'_>, now: Instant) -> bool {
+        let (Some(prompt), Some(memory)) = (query.prompt, query.memory) else {
+            return true;
+        };
+        let others = (stats.outstanding(now).0 - f64::from(stats.running)).max(0.0);
+        let held_tokens = stats.held_tokens as f64 + others * self.usual_held_tokens;
+        held_tokens + held_by(prompt) as f64 <= memory as f64
+    }
+
+    fn outlook(
         &self,
         stats: &EndpointStats,
-        prompt: &PromptSpec,
+        query: PlacementQuery<'_>,
         chain: &[(u64, Tokens)],
-        fit: EngineFit,
         now: Instant,
-    ) -> (f64, Tokens) {
-        let shared = shared_tokens(chain);
-        let assumed = if fit.is_home { shared } else { 0 };
-        let cached_tokens = stats.cached_tokens(chain).max(assumed);
-        let uncached = prompt.input_tokens.saturating_sub(cached_tokens);
-        let (_, unread_tokens) = stats.known_load();
-        let read_ms = uncached as f64 / self.prefill_rate;
-        let wait_ms = unread_tokens as f64 / self.prefill_rate;
+    ) -> EngineOutlook {
         let (running, waiting) = stats.outstanding(now);
-        let load_ms = running * RUNNING_COST_MS + waiting * WAITING_COST_MS;
-        let reread = shared.saturating_sub(cached_tokens) as f64 * REREAD_COST_MS;
-        let misplaced = match (fit.is_long, fit.is_reserved) {
-            (true, false) => running * read_ms * INTERFERENCE_SHARE,
-            (false, true) => RESERVED_COST_MS,
-            _ => 0.0,
+        let unknown_factor = if query.target.is_some() && !self.knows_all_loads() {
+            UNKNOWN_UNREAD_FACTOR
+        } else {
+            1
         };
-        let slowdown = stats.slowdown(now);
-        let cost = (read_ms + wait_ms + load_ms) * slowdown + reread + misplaced;
-        (cost, uncached)
+        EngineOutlook {
+            prefill_rate: self.rate_for(query),
+            cached_tokens: stats.cached_tokens(chain),
+            unread_tokens: stats.unread_tokens + stats.other_unread * unknown_factor,
+            running,
+            waiting,
+            slowdown: stats.slowdown(now),
+        }
     }
 
     /// Time to the first event, without the slowdown of the engine.
-    fn expected_ms(&self, stats: &EndpointStats, uncached: Tokens) -> f64 {
+    fn expected_ms(&self, stats: &EndpointStats, uncached: Tokens, rate: f64) -> f64 {
         let (running, unread_tokens) = stats.known_load();
-        let read_ms = (uncached + unread_tokens) as f64 / self.prefill_rate;
+        let read_ms = (uncached + unread_tokens) as f64 / rate;
         read_ms + f64::from(running) * RUNNING_COST_MS
     }
 
@@ -797,76 +792,3 @@
         (stats.started_ms == in_flight.started_ms).then_some(stats)
     }
 }
-
-/// How well an engine suits a prompt.
-#[derive(Clone, Copy, Debug)]
-struct EngineFit {
-    /// Whether the engine is the one that caches the shared parts of the prompt.
-    is_home: bool,
-    /// Whether the engine is reserved for long prompts.
-    is_reserved: bool,
-    /// Whether the prompt is long.
-    is_long: bool,
-}
-
-/// Tokens of the shared parts of a prompt, which are all except the last one.
-fn shared_tokens(chain: &[(u64, Tokens)]) -> Tokens {
-    chain.len().checked_sub(2).map_or(0, |last| chain[last].1)
-}
-
-/// Endpoints to compare for a request: all of a small fleet. In a larger one the cost of a decision
-/// must not grow with the fleet, so these are the engines that may cache the prompt, some that are
-/// connected and some random ones.
-fn select_candidates<'a>(
-    records: &'a [EndpointRecord],
-    query: PlacementQuery<'_>,
-    chain: &[(u64, Tokens)],
-    rng: &mut impl Rng,
-) -> Vec<&'a EndpointRecord> {
-    if records.len() <= COMPARE_ALL_MAX {
-        return records.iter().collect();
-    }
-    let mut selected = home_engines(chain, records.iter(), HOME_CANDIDATES);
-    let mut add = |record: &'a EndpointRecord| {
-        if selected.iter().all(|other| other.id != record.id) {
-            selected.push(record);
-        }
-    };
-    // Starts at a random endpoint, so that not always the same connected ones are left out.
-    let (before, after) = records.split_at(rng.random_range(0..records.len()));
-    let is_connected = |record: &EndpointRecord| {
-        let connected = query.connected;
-        connected.is_some_and(|connected| connected.contains(&record.address))
-    };
-    let connected = after.iter().chain(before);
-    let connected = connected.filter(|record| is_connected(record));
-    connected.take(CONNECTED_CANDIDATES).for_each(&mut add);
-    let random = index::sample(rng, records.len(), RANDOM_CANDIDATES);
-    random
-        .into_iter()
-        .for_each(|position| add(&records[position]));
-    selected
-}
-
-/// Engines that cache the shared parts of a prompt, best first, by rendezvous hashing, so that all
-/// routers send requests with the same parts to the same engine.
-fn home_engines<'a>(
-    chain: &[(u64, Tokens)],
-    candidates: impl Iterator<Item = &'a EndpointRecord>,
-    limit: usize,
-) -> Vec<&'a EndpointRecord> {
-    let shared = chain.len().checked_sub(2).map(|last| chain[last].0);
-    let Some(hash) = shared else {
-        return Vec::new();
-    };
-    let mut homes: Vec<(u64, &EndpointRecord)> = Vec::with_capacity(limit + 1);
-    for record in candidates {
-        let rank = xxh3_64_with_seed(record.id.as_bytes(), hash);
-        let position = homes.partition_point(|(other, _)| *other >= rank);
-        if position < limit {
-            homes.truncate(limit - 1);
-            homes.insert(position, (rank, record));
-        }
-    }
-    homes.into_iter().map(|(_, record)| record).collect()
-}
--- a/crates/forward/src/group.rs
+++ b/crates/forward/src/group.rs
@@ -367,9 +367,10 @@
         }
         let rank = |vm: &VmId| (xxh3_64_with_seed(vm.as_bytes(), PUBLISHER_SEED), vm.clone());
         let own = rank(&self.vm);
-        let mut vms = table.owner_pools.values().flatten();
-        vms.clone().find(|vm| **vm == self.vm)?;
-        Some(vms.by_ref().filter(|vm| rank(vm) > own).count())
+        let pools = table.owner_pools.values();
+        let vms: Vec<&VmId> = pools.flat_map(|pool| pool.members()).collect();
+        let is_candidate = vms.contains(&&self.vm);
+        is_candidate.then(|| vms.into_iter().filter(|vm| rank(vm) > own).count())
     }
 
     /// Number of routers that own grants of one customer.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod origin;
 pub mod owner;
 pub mod peer;
+mod placement;
 pub mod port;
 pub mod record;
 pub mod request;
@@ -49,7 +50,7 @@
 pub mod warmup;
 
 pub use crate::{
-    balancer::{LoadBalancer, Placement, PlacementQuery, RouterLoad},
+    balancer::{LoadBalancer, RouterLoad},
     fleet::FleetView,
     forwarder::{Forwarder, StopWindow},
     link::LinkMeter,
@@ -58,6 +59,7 @@
     },
     metric::METRIC_NAMES,
     node::{ForwardNode, ForwardPorts},
+    placement::{LatencyTarget, Placement, PlacementOutlook, PlacementQuery},
     setting::ForwardSetting,
     sse::{EventSplitter, StreamEvent},
 };
--- a/crates/forward/src/snapshot.rs
+++ b/crates/forward/src/snapshot.rs
@@ -53,7 +53,7 @@
 const PUBLISHER_LIMIT: usize = 3;
 
 /// Registrations of all endpoints at one version of the store.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct EndpointSnapshot {
     /// Store version at which the registrations were read.
     pub version: u64,
--- a/crates/forward/tests/snapshot.rs
+++ b/crates/forward/tests/snapshot.rs
@@ -1,6 +1,9 @@
 //! Snapshots of the registrations, and routers that start from them.
 
-use std::{net::Ipv4Addr, time::Instant};
+use std::{
+    net::Ipv4Addr,
+    time::{Duration, Instant},
+};
 
 use {
     bytes::Bytes,
@@ -25,6 +28,8 @@
         state: EndpointState::Ready,
         sequence,
         software: "v1".into(),
+        cold_remaining: Duration::ZERO,
+        cold: None,
     }
 }
 
