--- a/crates/forward/tests/budget.rs
+++ b/crates/forward/tests/budget.rs
@@ -360,7 +360,7 @@
     let other = BudgetManager::new(
         HolderId::new("vm-2", 2),
         Arc::new(rows.clone()),
-        Arc::new(peers::OwnerPeer(owner)),
+        Arc::new(peers::OwnerPeer::new(owner)),
     );
     other.set_predecessor(PredecessorEnd::Unknown);
     for _ in 0..5 {
@@ -419,7 +419,7 @@
         let stopping = BudgetManager::new(
             HolderId::new("vm-2", 2),
             Arc::new(rows.clone()),
-            Arc::new(peers::OwnerPeer(owner.clone())),
+            Arc::new(peers::OwnerPeer::new(owner.clone())),
         );
         stopping.set_predecessor(PredecessorEnd::Unknown);
         let held = stopping
--- a/crates/forward/tests/large_fleet.rs
+++ b/crates/forward/tests/large_fleet.rs
@@ -50,7 +50,7 @@
     let owner = manager(&rows, "vm-owner", 1, Arc::new(peers::NoPeers));
     let routers: Vec<_> = (0..ROUTERS)
         .map(|number| {
-            let owner_peer = Arc::new(peers::OwnerPeer(owner.clone()));
+            let owner_peer = Arc::new(peers::OwnerPeer::new(owner.clone()));
             manager(&rows, &format!("vm-{number}"), 10 + number, owner_peer)
         })
         .collect();
--- a/crates/forward/tests/supply.rs
+++ b/crates/forward/tests/supply.rs
@@ -1,10 +1,7 @@
 //! Tokens that owners of grants supply to other routers of a large fleet.
 
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicU32, Ordering},
-    },
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
@@ -137,12 +134,7 @@
     );
     rows.set_fault(RowFault::Unavailable);
     owner.session().heartbeat_sent(Instant::now());
-    let slow = peers::SlowOwnerPeer {
-        owner: peers::OwnerPeer(owner.clone()),
-        delay: 40 * MS,
-        asked: AtomicU32::new(0),
-    };
-    let slow = Arc::new(slow);
+    let slow = Arc::new(peers::OwnerPeer::slow(owner.clone(), 40 * MS));
     let asking = router(&rows, "vm-2", slow.clone());
     asking.session().heartbeat_sent(Instant::now());
     for amount in [80_000, 80_000, 85_000] {
@@ -179,7 +171,7 @@
     );
     let asking: Vec<_> = ["vm-2", "vm-3"]
         .into_iter()
-        .map(|vm| router(&rows, vm, Arc::new(peers::OwnerPeer(owner.clone()))))
+        .map(|vm| router(&rows, vm, Arc::new(peers::OwnerPeer::new(owner.clone()))))
         .collect();
     let held = hold(&asking[0], 60_000)
         .await
@@ -213,11 +205,7 @@
             .await
             .expect("the budget covers the request"),
     );
-    let slow = Arc::new(peers::SlowOwnerPeer {
-        owner: peers::OwnerPeer(owner.clone()),
-        delay: 20 * MS,
-        asked: AtomicU32::new(0),
-    });
+    let slow = Arc::new(peers::OwnerPeer::slow(owner.clone(), 20 * MS));
     let asking = router(&rows, "vm-2", slow.clone());
     tokio::spawn(asking.clone().hand_over_leftovers());
     let (mut waited, mut kept, mut asked_before) = (0, 0, 0);
--- a/crates/forward/tests/support/peers.rs
+++ b/crates/forward/tests/support/peers.rs
@@ -76,7 +76,31 @@
     dead_code,
     reason = "not every test file that shares this module needs it"
 )]
-pub(crate) struct OwnerPeer(pub(crate) Arc<BudgetManager>);
+pub(crate) struct OwnerPeer {
+    owner: Arc<BudgetManager>,
+    /// Time that an answer takes.
+    delay: Duration,
+    /// Number of calls for tokens.
+    pub(crate) asked: AtomicU32,
+}
+
+#[allow(
+    dead_code,
+    reason = "not every test file that shares this module needs it"
+)]
+impl OwnerPeer {
+    pub(crate) fn new(owner: Arc<BudgetManager>) -> Self {
+        Self::slow(owner, Duration::ZERO)
+    }
+
+    pub(crate) fn slow(owner: Arc<BudgetManager>, delay: Duration) -> Self {
+        Self {
+            owner,
+            delay,
+            asked: AtomicU32::new(0),
+        }
+    }
+}
 
 impl TokenPeers for OwnerPeer {
     fn is_owner(&self, _: &CustomerId) -> bool {
@@ -89,9 +113,13 @@
         _: Tokens,
         wanted: Tokens,
     ) -> Pin<Box<dyn Future<Output = SupplyOutcome> + Send + 'a>> {
+        self.asked.fetch_add(1, Ordering::Relaxed);
         Box::pin(async move {
+            if !self.delay.is_zero() {
+                tokio::time::sleep(self.delay).await;
+            }
             let mut outcome = SupplyOutcome::default();
-            outcome.add(self.0.give_or_hint(customer, wanted, true).await);
+            outcome.add(self.owner.give_or_hint(customer, wanted, true).await);
             outcome
         })
     }
@@ -121,71 +149,11 @@
         customer: &'a CustomerId,
         tokens: Tokens,
     ) -> Pin<Box<dyn Future<Output = DepositOutcome> + Send + 'a>> {
-        self.0.take_back(customer, tokens);
+        self.owner.take_back(customer, tokens);
         Box::pin(async { DepositOutcome::Accepted })
     }
 }
 
-/// Like [`OwnerPeer`], over a slow link.
-#[allow(
-    dead_code,
-    reason = "not every test file that shares this module needs it"
-)]
-pub(crate) struct SlowOwnerPeer {
-    pub(crate) owner: OwnerPeer,
-    /// Time that an answer takes.
-    pub(crate) delay: Duration,
-    /// Number of calls.
-    pub(crate) asked: AtomicU32,
-}
-
-impl TokenPeers for SlowOwnerPeer {
-    fn is_owner(&self, _: &CustomerId) -> bool {
-        false
-    }
-
-    fn ask<'a>(
-        &'a self,
-        customer: &'a CustomerId,
-        minimum: Tokens,
-        wanted: Tokens,
-    ) -> Pin<Box<dyn Future<Output = SupplyOutcome> + Send + 'a>> {
-        self.asked.fetch_add(1, Ordering::Relaxed);
-        Box::pin(async move {
-            tokio::time::sleep(self.delay).await;
-            self.owner.ask(customer, minimum, wanted).await
-        })
-    }
-
-    fn keeps_draws(&self) -> Option<bool> {
-        self.owner.keeps_draws()
-    }
-
-    fn record_draw<'a>(
-        &'a self,
-        customer: &'a CustomerId,
-        record: DrawRecord,
-    ) -> Pin<Box<dyn Future<Output = bool> + Send + 'a>> {
-        self.owner.record_draw(customer, record)
-    }
-
-    fn survey_draws<'a>(
-        &'a self,
-        customer: &'a CustomerId,
-        era: StoreEra,
-    ) -> Pin<Box<dyn Future<Output = Option<DrawSurvey>> + Send + 'a>> {
-        self.owner.survey_draws(customer, era)
-    }
-
-    fn deposit<'a>(
-        &'a self,
-        customer: &'a CustomerId,
-        tokens: Tokens,
-    ) -> Pin<Box<dyn Future<Output = DepositOutcome> + Send + 'a>> {
-        self.owner.deposit(customer, tokens)
-    }
-}
-
 /// Peers without tokens that record what they were asked for.
 #[allow(
     dead_code,
