--- a/crates/forward/tests/large_fleet.rs
+++ b/crates/forward/tests/large_fleet.rs
@@ -11,14 +11,20 @@
 use {
     jasminewall_core::{CustomerId, HolderId, Tokens},
     jasminewall_forward::{
-        BudgetManager, ForwardNode, ForwardPorts, ForwardSetting, PredecessorEnd, TokenPeers,
+        BudgetManager, FleetView, ForwardNode, ForwardPorts, ForwardSetting, Forwarder,
+        PredecessorEnd, TokenPeers,
+        origin::StreamOrigins,
+        peer::{self, RouterPeerClient},
         port::{
             CallError, CallFuture, ConfigUpdate, EndpointCall, EndpointPort, EndpointUpdate,
             PortState, RecordPort,
         },
         record::{CallerLimits, CustomerRule, FleetConfig},
+        setting::FleetBounds,
+        supply::SupplyOutlook,
     },
-    jasminewall_ports::{MemoryRows, PortFuture, RowKey, RowPort},
+    jasminewall_ports::{MemoryRows, PortFuture, RowFault, RowKey, RowPort},
+    tarpc::{client, context, tokio_serde::formats::Bincode},
 };
 
 #[path = "support/peers.rs"]
@@ -235,3 +241,49 @@
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     assert!(rows.get(&heartbeat).is_none());
 }
+
+/// Guards against routers of different versions that cannot exchange tokens: an owner answers the call
+/// of earlier versions as before, and the new one with the reason and the time for what it lacks.
+#[tokio::test]
+async fn an_owner_answers_both_calls_for_tokens() {
+    let rows = MemoryRows::new();
+    let owner = manager(&rows, "vm-owner", 1, Arc::new(peers::NoPeers));
+    owner.set_large(true);
+    let held = owner
+        .hold(&"first".into(), &customer(), 400_000, 100, deadline())
+        .await;
+    drop(held);
+    let (view, port) = (Arc::new(FleetView::default()), Arc::new(rows.clone()));
+    let forwarder = Forwarder::new(
+        "a".into(),
+        view.clone(),
+        owner.clone(),
+        Arc::new(QuietPlatform),
+        Arc::new(StreamOrigins::new(port.clone())),
+        port,
+        FleetBounds::default(),
+    );
+    let free_port = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = free_port.local_addr().expect("the port is bound");
+    drop(free_port);
+    let served = peer::serve(address, view, owner.clone(), forwarder).await;
+    served.expect("the port is still free");
+    let transport = tarpc::serde_transport::tcp::connect(address, Bincode::default);
+    let transport = transport.await.expect("the owner listens");
+    let client = RouterPeerClient::new(client::Config::default(), transport).spawn();
+    let call = client.give(context::current(), customer(), 500);
+    assert_eq!(call.await.expect("the owner answers"), 500);
+    rows.set_fault(RowFault::Unavailable);
+    owner.session().heartbeat_sent(Instant::now());
+    let call = client.give_or_hint(context::current(), customer(), 900_000, true);
+    let answer = call.await.expect("the owner answers");
+    assert!(answer.given < 900_000 && answer.lent >= 500, "{answer:?}");
+    assert_eq!(answer.outlook, SupplyOutlook::StoreAway);
+    assert_eq!(answer.more_in_ms, Some(1_000));
+    let registration = r#"{"boot":1,"address":"127.0.0.1:1","domain":"a"}"#;
+    let earlier: peer::PeerRecord = serde_json::from_str(registration).expect("a registration");
+    assert!(
+        !earlier.has_supply_hints,
+        "earlier versions get the call that they know"
+    );
+}
