Let others take over the cold endpoints of removed routers

Cause: a router that was removed for good counted as an owner of cold endpoints until the next change of the registrations, and a rate near 0 could give a time beyond the range of the clock.

Change: removed routers are dropped 10 s later by the regular cleanup, and the interval is at most an hour.

--- a/crates/forward/src/warmup.rs
+++ b/crates/forward/src/warmup.rs
@@ -196,8 +196,14 @@
         is_cold
     }
 
-    /// Forgets sends that no longer matter.
+    /// Forgets sends that no longer matter, and routers that were removed long enough ago.
     pub fn expire(&mut self, now: Instant) {
+        let known = self.others.len();
+        self.others
+            .retain(|_, forget_at| forget_at.is_none_or(|at| now < at));
+        if self.others.len() < known {
+            self.ranks.get_mut().clear();
+        }
         self.last_sends
             .retain(|_, last| now.saturating_duration_since(*last) < UNCONFIRMED_COLD);
     }
@@ -230,7 +236,8 @@
         let sends = (bound / (owners * SENDER_MARGIN) as f64).floor().max(1.0);
         let by_bound = (1.0 + ARRIVAL_JITTER) / sends;
         let by_rate = owners as f64 / per_second;
-        Duration::try_from_secs_f64(by_bound.max(by_rate)).unwrap_or(UNCONFIRMED_COLD)
+        let interval = Duration::try_from_secs_f64(by_bound.max(by_rate));
+        interval.unwrap_or(COLD_MAX).min(COLD_MAX)
     }
 
     /// Number of known routers that come before this one for an endpoint.
--- a/crates/forward/tests/warmup.rs
+++ b/crates/forward/tests/warmup.rs
@@ -9,10 +9,11 @@
     jasminewall_core::VmId,
     jasminewall_forward::{
         FleetView, LoadBalancer, PlacementQuery,
+        allowance::SendPermit,
         evacuation::EvacuationChange,
         port::{ConfigUpdate, EndpointChange, EndpointUpdate},
         record::{CallerLimits, EndpointRecord, EndpointState, FleetConfig, ServiceRule},
-        warmup::ColdPhase,
+        warmup::{ColdPhase, WarmupTable},
     },
     rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom},
 };
@@ -159,6 +160,39 @@
     }
 }
 
+/// Guards against endpoints that lose their owners when routers are removed for good, and against
+/// extreme rates that end the process.
+#[test]
+fn others_take_over_from_removed_routers() {
+    let now = Instant::now();
+    let later = now + 12 * SECOND;
+    let names: Vec<VmId> = (0..40)
+        .map(|number| format!("vm-{number}").into())
+        .collect();
+    let mut table = WarmupTable::default();
+    table.set_bound(1.5, 5.0);
+    table.set_routers(&names[0], &names[1..], now);
+    let owned = |table: &mut WarmupTable, per_second: f64| {
+        let until = later + SECOND;
+        let records = (0..100).map(|number| EndpointRecord {
+            cold: Some(ColdPhase { until, per_second }),
+            ..endpoint(number)
+        });
+        let allowed = records.filter(|record| table.permit(record, later) == SendPermit::Allowed);
+        allowed.count()
+    };
+    assert!(owned(&mut table, PER_SECOND) < 30);
+    table.set_routers(&names[0], &names[1..4], now);
+    table.expire(now + 11 * SECOND);
+    for per_second in [PER_SECOND, 1e9, f64::MAX, 1e-300, 3e-19] {
+        let allowed = owned(&mut table, per_second);
+        assert!(
+            allowed == 100 || per_second < 1.0,
+            "{allowed} at {per_second}"
+        );
+    }
+}
+
 fn view(now: Instant) -> FleetView {
     let view = FleetView::default();
     let rule = ServiceRule {
