Adapt tests to the fields of cold endpoints and of placement

Cause: the parts were built side by side; tests of one lack the fields of another. Change: the literals in tests name all fields.

--- a/crates/forward/tests/placement.rs
+++ b/crates/forward/tests/placement.rs
@@ -136,6 +136,8 @@
             state: EndpointState::Ready,
             sequence: 0,
             software: "".into(),
+            cold_remaining: Duration::ZERO,
+            cold: None,
         })
         .collect()
 }
--- a/crates/forward/tests/warmup.rs
+++ b/crates/forward/tests/warmup.rs
@@ -105,6 +105,8 @@
         max_gap: None,
         excluded: &[],
         connected: None,
+        target: None,
+        memory: None,
     };
     let mut arrivals: Vec<Vec<Instant>> = vec![Vec::new(); ENDPOINTS];
     for step in 0..300 {
