Add tests of callers that exhaust memory and connections

Cause: callers terminated processes by many large bodies that stop short of their end, by chunks, by bodies over the limit, and by connections that wait.

Change: a test binary with six patterns, each for `serve` and for `run` (which has the caller interface of `embed`, without the stand-ins in its process). Peak resident set, descriptors, and one ordinary request during and after the crowd are checked with memory_mb = 88. The setting is parsed and has no effect yet. The stand-in endpoints accept bodies of 8 MB instead of 1 and 2 MB, so that a body of the permitted 4 MB reaches them.

--- a/crates/forward/src/setting.rs
+++ b/crates/forward/src/setting.rs
@@ -18,6 +18,7 @@
             "readiness",
             "peer_listen",
             "link_mbps",
+            "memory_mb",
         ],
     ),
     ("store", &["address"]),
@@ -79,6 +80,8 @@
     pub peer_listen: SocketAddr,
     /// Speed of the VM's network link in Mbit/s, if known.
     pub link_mbps: Option<f64>,
+    /// Memory of the VM in MB, if known.
+    pub memory_mb: Option<usize>,
     /// Address of the store.
     pub store: SocketAddr,
     /// Limits for the fleet.
@@ -103,6 +106,7 @@
             readiness: reader.parse("router", "readiness", "ip:port", None),
             peer_listen: reader.parse("router", "peer_listen", "ip:port", None),
             link_mbps: read_speed(&mut reader),
+            memory_mb: reader.memory("router"),
             store: reader.parse("store", "address", "ip:port", None),
             bounds: FleetBounds {
                 grace: read_seconds(&mut reader, "grace_s", bounds.grace),
--- /dev/null
+++ b/crates/jasminewall/tests/hostile_callers/target.rs
@@ -0,0 +1,265 @@
+//! Router processes with stand-ins for everything that they need.
+
+use std::{
+    fs::File,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicUsize, Ordering},
+    time::{Duration, Instant},
+};
+
+use {
+    axum::body::Bytes,
+    jasminewall_ports::{MemoryRows, RowKey},
+    serde_json::{Value, json},
+    tokio::net::{TcpListener, TcpStream},
+};
+
+use crate::{
+    MEMORY_MB,
+    crowd::SendPlan,
+    standin::{self, Behavior, FakeEndpoint},
+};
+
+/// Longest wait for a process to serve its first request.
+const START_ATTEMPTS: usize = 150;
+
+/// Memory and descriptors of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ProcessFigures {
+    pub(crate) peak_kb: usize,
+    pub(crate) descriptors: usize,
+}
+
+/// Process that is killed when the test ends.
+struct ChildProcess(Child);
+
+impl ChildProcess {
+    fn spawn(command: &str, setting: &Path, log: &Path) -> Self {
+        let log = File::create(log).expect("a log file");
+        let mut process = Command::new(env!("CARGO_BIN_EXE_jasminewall"));
+        process.arg(command);
+        if command == "serve" {
+            process.arg("--settings");
+        }
+        let process = process
+            .arg(setting)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().expect("a log file"))
+            .stderr(log);
+        Self(process.spawn().expect("the process starts"))
+    }
+}
+
+impl Drop for ChildProcess {
+    fn drop(&mut self) {
+        // The process may have exited already.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Router process under test.
+pub(crate) struct RouterTarget {
+    /// The router is the first one, its stand-ins follow.
+    processes: Vec<ChildProcess>,
+    pub(crate) address: SocketAddr,
+    /// Target of ordinary requests.
+    pub(crate) path: String,
+    /// Target of requests with a large response.
+    pub(crate) large_path: String,
+    /// Bytes of a request head that the router still waits to end.
+    pub(crate) open_head: usize,
+    headers: &'static str,
+}
+
+impl RouterTarget {
+    /// Request head with an id of its own.
+    pub(crate) fn head(&self, method: &str, path: &str, length: &str) -> String {
+        static SERIAL: AtomicUsize = AtomicUsize::new(1);
+        let serial = SERIAL.fetch_add(1, Ordering::Relaxed);
+        format!(
+            "{method} {path} HTTP/1.1\r\nHost: shop.example\r\nattempt-id: id-{serial}\r\n{}{length}\r\n\r\n",
+            self.headers
+        )
+    }
+
+    /// Sends a request with a body of `size` bytes and returns the status of the response.
+    pub(crate) async fn request(&self, path: &str, size: usize) -> Result<u16, String> {
+        let head = self.head("POST", path, &format!("Content-Length: {size}"));
+        let plan = SendPlan::new(&head).repeat(&vec![b'x'; size], 1);
+        plan.send_and_read(self.address).await
+    }
+
+    pub(crate) fn is_alive(&mut self) -> bool {
+        matches!(self.processes[0].0.try_wait(), Ok(None))
+    }
+
+    pub(crate) fn measure(&self) -> ProcessFigures {
+        let folder = PathBuf::from(format!("/proc/{}", self.processes[0].0.id()));
+        let status = std::fs::read_to_string(folder.join("status")).unwrap_or_default();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.and_then(|text| text.trim().strip_suffix(" kB")?.trim().parse().ok());
+        let descriptors = std::fs::read_dir(folder.join("fd")).map(Iterator::count);
+        ProcessFigures {
+            peak_kb: peak.expect("a running process"),
+            descriptors: descriptors.expect("a running process"),
+        }
+    }
+
+    /// Waits until the figures have not changed for two seconds, or for the given time.
+    pub(crate) async fn wait_settled(&self, limit: Duration) -> ProcessFigures {
+        let deadline = Instant::now() + limit;
+        loop {
+            let before = self.measure();
+            tokio::time::sleep(Duration::from_secs(2)).await;
+            let after = self.measure();
+            if before == after || Instant::now() >= deadline {
+                return after;
+            }
+        }
+    }
+
+    /// Waits until an ordinary request is answered.
+    async fn wait_ready(self) -> Self {
+        for _ in 0..START_ATTEMPTS {
+            if TcpStream::connect(self.address).await.is_ok()
+                && self.request(&self.path, 10).await == Ok(200)
+            {
+                return self;
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+        panic!("the router does not serve requests");
+    }
+}
+
+async fn free_port() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    let address = listener.and_then(|listener| listener.local_addr());
+    address.expect("a free port")
+}
+
+/// Folder for the settings and logs of one test.
+fn test_folder(name: &str) -> PathBuf {
+    static SERIAL: AtomicUsize = AtomicUsize::new(0);
+    let serial = SERIAL.fetch_add(1, Ordering::Relaxed);
+    let folder =
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("hostile-{name}-{serial}"));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
+fn write(path: &Path, text: &str) {
+    std::fs::write(path, text).expect("a file");
+}
+
+/// Starts `jasminewall serve` with a stand-in store, and two services of one endpoint each.
+pub(crate) async fn start_serve() -> RouterTarget {
+    let rows = MemoryRows::new();
+    let put = |table: &str, key: &str, value: &Value| {
+        let bytes = Bytes::from(value.to_string());
+        rows.put(RowKey::new(table, "", key), Some(bytes));
+    };
+    let route = |service: &str| {
+        json!({"Name": service, "Host": "shop.example", "Prefix": format!("/{service}/"),
+            "Kind": "safe", "TimeoutMs": 60_000, "TargetLatencyMs": 300, "Priority": 1,
+            "Service": service, "MaxAttempts": 2, "StreamResume": false, "TargetGapMs": 500})
+    };
+    put(
+        "op",
+        "config",
+        &json!({
+            "Version": 1, "Routes": [route("app"), route("large")],
+            "Services": [{"Name": "app"}, {"Name": "large"}],
+            "Limits": {"MaxHeaderBytes": 16_384, "MaxBodyBytes": 4_194_304, "IdleTimeoutMs": 60_000},
+        }),
+    );
+    let services = [
+        ("app", "app-1", Behavior::Healthy),
+        ("large", "large-1", Behavior::EndlessBody),
+    ];
+    for (service, name, behavior) in services {
+        let (_, address) = FakeEndpoint::start(name, behavior).await;
+        put(
+            "servers",
+            name,
+            &json!({"Service": service, "Address": address, "Zone": "a",
+            "Slots": 200, "State": "ready", "Sequence": 1, "born": 1}),
+        );
+    }
+    let store = standin::start_store(rows.clone()).await;
+    let address = free_port().await;
+    let folder = test_folder("serve");
+    let setting = folder.join("router.ini");
+    write(
+        &setting,
+        &format!(
+            "[router]\nvm = vm-1\nfailure_domain = a\nlisten = {address}\nreadiness = {}\n\
+         peer_listen = {}\nmemory_mb = {MEMORY_MB}\n[store]\naddress = {store}\n[log]\nformat = json\nlevel = info,tarpc=error\n",
+            free_port().await,
+            free_port().await,
+        ),
+    );
+    let process = ChildProcess::spawn("serve", &setting, &folder.join("router.log"));
+    let target = RouterTarget {
+        processes: vec![process],
+        address,
+        path: "/app/1".to_owned(),
+        large_path: "/large/1".to_owned(),
+        open_head: 30_000,
+        headers: "",
+    };
+    target.wait_ready().await
+}
+
+/// Starts `jasminewall standins` with one plain service, and `jasminewall run`.
+pub(crate) async fn start_run() -> RouterTarget {
+    let (address, platform) = (free_port().await, free_port().await);
+    let folder = test_folder("run");
+    write(
+        &folder.join("fleet.toml"),
+        &format!(
+            "schema = 2\n[[endpoint]]\nname = \"app-1\"\nruns = \"plain_service\"\naddress = \"{}\"\n\
+         failure_domain = \"domain-a\"\nslots = 200\n\
+         [[route]]\nname = \"app\"\nendpoints = [\"app-1\"]\nprice = 1\nanswer_limit_bytes = 4194304\n\
+         [[customer]]\nname = \"parish\"\n\
+         key_sha256 = [\"b217bdf7b013b544e53b5047c5cbe4bda70e4d58d090da88b04561230ae93f39\"]\n\
+         [[budget]]\nname = \"parish-2026\"\ncustomer = \"parish\"\n\
+         [[top_up]]\nname = \"parish-first\"\nbudget = \"parish-2026\"\namount = 1000000\n",
+            free_port().await,
+        ),
+    );
+    let standins = folder.join("standins.ini");
+    write(
+        &standins,
+        &format!(
+            "[standins]\nplatform = {platform}\ndeclarations = fleet.toml\nshards = 1\nvms = vm-1\n[log]\nlevel = warn\n"
+        ),
+    );
+    let setting = folder.join("router.ini");
+    write(
+        &setting,
+        &format!(
+            "[router]\nvm = vm-1\nfailure_domain = domain-a\nlisten = {address}\npeer_listen = {}\n\
+         [fleet]\nsecret = sample-secret\nshards = 1\n[platform]\naddress = {platform}\n\
+         [limits]\nheader_timeout_ms = 60000\nmemory_mb = {MEMORY_MB}\n[log]\nlevel = info\n",
+            free_port().await,
+        ),
+    );
+    let standins = ChildProcess::spawn("standins", &standins, &folder.join("standins.log"));
+    while TcpStream::connect(platform).await.is_err() {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let router = ChildProcess::spawn("run", &setting, &folder.join("router.log"));
+    let target = RouterTarget {
+        processes: vec![router, standins],
+        address,
+        path: "/svc/app/1".to_owned(),
+        large_path: "/svc/app/1?bytes=4000000".to_owned(),
+        open_head: 200_000,
+        headers: "Authorization: Bearer sample-key-parish\r\n",
+    };
+    target.wait_ready().await
+}
--- a/crates/router/src/setting.rs
+++ b/crates/router/src/setting.rs
@@ -32,6 +32,7 @@
             "header_bytes",
             "header_count",
             "header_timeout_ms",
+            "memory_mb",
         ],
     ),
     ("log", &["format", "level"]),
@@ -84,6 +85,8 @@
     pub header_count: usize,
     /// Timeout for receiving the headers.
     pub header_timeout: Duration,
+    /// Memory of the machine in MB, if known.
+    pub memory_mb: Option<usize>,
 }
 
 impl Default for CallerLimits {
@@ -94,6 +97,7 @@
             header_bytes: 16 << 10,
             header_count: 64,
             header_timeout: Duration::from_secs(10),
+            memory_mb: None,
         }
     }
 }
@@ -174,6 +178,7 @@
                 header_bytes: reader.count("limits", "header_bytes", Some(limits.header_bytes)),
                 header_count: reader.count("limits", "header_count", Some(limits.header_count)),
                 header_timeout: reader.millis("limits", "header_timeout_ms", limits.header_timeout),
+                memory_mb: reader.memory("limits"),
             },
             log: reader.log(),
             metrics: reader.optional("metrics", "address", "ip:port"),
--- a/crates/setting/src/lib.rs
+++ b/crates/setting/src/lib.rs
@@ -192,6 +192,18 @@
         Duration::from_millis(self.count(section, key, Some(default)))
     }
 
+    /// Parses `memory_mb` of a section: the memory of the machine in MB, if known.
+    pub fn memory(&mut self, section: &str) -> Option<usize> {
+        let memory = self.optional(section, "memory_mb", "a whole number above 0")?;
+        if memory == 0 {
+            self.push_error(format!(
+                "[{section}] memory_mb: write a whole number above 0"
+            ));
+            return None;
+        }
+        Some(memory)
+    }
+
     /// Parses a comma-separated list.
     pub fn list<T: FromStr>(&mut self, section: &str, key: &str, form: &str) -> Vec<T> {
         let text = self.get(section, key).unwrap_or_default();
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -10,7 +10,7 @@
     axum::{
         Json, Router,
         body::Bytes,
-        extract::{Query, State},
+        extract::{DefaultBodyLimit, Query, State},
         http::{HeaderMap, Method, StatusCode, Uri},
         response::{IntoResponse, Response},
         serve::ListenerExt,
@@ -21,6 +21,9 @@
     tokio::net::TcpListener,
 };
 
+/// Largest request body; above the limit of the routers.
+const BODY_LIMIT: usize = 8 << 20;
+
 /// Stand-in for a plain service, which counts its calls.
 ///
 /// The query can inject faults: `status` sets the HTTP status, `sleep_ms` delays the response, `bytes`
@@ -61,7 +64,10 @@
     ///
     /// The error of the listener.
     pub async fn serve(self, listener: TcpListener) -> std::io::Result<()> {
-        let app = Router::new().fallback(respond).with_state(self);
+        let app = Router::new()
+            .fallback(respond)
+            .layer(DefaultBodyLimit::max(BODY_LIMIT))
+            .with_state(self);
         // Without TCP_NODELAY, delayed acknowledgements add 40 ms to a stream of small events.
         let listener = listener.tap_io(|stream| {
             let _ = stream.set_nodelay(true);
