Bound the memory and connections that callers can take

Cause: bodies were read without an account, buffers grew by reallocation, a refusal of a large body was lost in a reset, and connections that wait took all slots (serve) or had no limit (run).

Change: an account of body memory and shares of the machine's memory in crates/core (body_account), applied by the new crate jasminewall-caller for both interfaces: bodies are counted while any reference to them lives, a part is reserved for small ones, stalled ones are evicted when it is full, and one without progress for 15 s ends (408). Large bodies lie in buffers that the allocator maps and returns separately. Refused bodies are discarded for a bounded time and size before the connection is closed. Connection slots and incomplete heads are bounded by memory; the longest waiting connection gives up its slot. Buffered responses of `run` are part of the account. Read buffers of `run` shrink from 256 KB (callers) and about 400 KB (endpoints) to 64 KB. The test of metric names also covers those of the new crate.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 //! ```
 
 pub mod admission;
+pub mod body_account;
 pub mod budget;
 pub mod choice;
 pub mod claim;
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -72,6 +72,8 @@
     UnsupportedMediaType = "unsupported_media_type", 415, No, "Send the body as 'application/json'.";
     /// The body did not arrive in time.
     RequestTimeout = "request_timeout", 408, No, "The request body did not arrive in time.";
+    /// There is no memory for the body.
+    BodyMemoryFull = "body_memory_full", 503, No, "The router holds too many large bodies at the moment; try again later.";
     /// The headers are more or larger than the limit.
     HeadersTooLarge = "headers_too_large", 431, No, "The request has more or larger headers than the limit.";
     /// The path is not served.
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -80,6 +80,10 @@
     Malformed,
     /// The body is too large.
     BodyTooLarge,
+    /// The body made no progress.
+    BodyStalled,
+    /// There is no memory for the body.
+    BodyMemoryFull,
     /// The rest of the prepaid budget does not cover the request.
     BudgetSpent,
     /// Other routers hold the tokens, or the store is unreachable.
@@ -115,11 +119,13 @@
             | Self::UnknownOrigin
             | Self::RateLimited(_)
             | Self::DeadlinePassed
+            | Self::BodyMemoryFull
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::UnknownRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyStalled => StatusCode::REQUEST_TIMEOUT,
             Self::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Self::Lost | Self::CrashesEndpoints => StatusCode::BAD_GATEWAY,
@@ -134,6 +140,8 @@
             Self::UnknownKey => "unknown_key",
             Self::Malformed => "malformed",
             Self::BodyTooLarge => "body_too_large",
+            Self::BodyStalled => "body_stalled",
+            Self::BodyMemoryFull => "body_memory_full",
             Self::BudgetSpent => "budget_spent",
             Self::BudgetUnavailable => "budget_unavailable",
             Self::NoEndpoint => "no_endpoint",
@@ -156,6 +164,10 @@
             Self::UnknownKey => "The key belongs to no customer.",
             Self::Malformed => "The request is malformed.",
             Self::BodyTooLarge => "The body is larger than the configured limit.",
+            Self::BodyStalled => "The body made no progress; the request has not run.",
+            Self::BodyMemoryFull => {
+                "The router holds too many large bodies at the moment; the request has not run."
+            }
             Self::BudgetSpent => "The rest of the prepaid budget does not cover the request.",
             Self::BudgetUnavailable => {
                 "The tokens are out of reach at the moment; the request has not run."
--- a/crates/forward/tests/setting.rs
+++ b/crates/forward/tests/setting.rs
@@ -21,6 +21,7 @@
         ("Bounds.RetryWindowS", "10"),
         ("Bounds.RetrySlack", "58"),
         ("Limits.LinkMbps", "10.0"),
+        ("Limits.MemoryMb", "88.0"),
     ];
     values.iter().fold(text.to_owned(), |text, (name, value)| {
         text.replace(&format!("{{{{{name}}}}}"), value)
@@ -37,6 +38,7 @@
         "a placeholder without a value: {text}"
     );
     let setting: ForwardSetting = text.parse().expect("the template is valid");
+    assert_eq!(setting.memory_mb, Some(88));
     assert_eq!(setting.bounds.grace, Duration::from_secs(8));
     assert_eq!(setting.bounds.drain, Duration::from_secs(4));
     assert_eq!(setting.bounds.retry_window, Duration::from_secs(10));
--- a/crates/router/src/api.rs
+++ b/crates/router/src/api.rs
@@ -14,23 +14,25 @@
         Json, Router,
         body::Body,
         extract::{Request, State},
-        http::StatusCode,
+        http::{HeaderValue, StatusCode, header},
         middleware::{self, Next},
         response::Response,
         routing::{any, get, post},
     },
+    hyper::{body::Incoming, service::service_fn},
     hyper_util::{
         client::legacy::{Client, connect::HttpConnector},
         rt::{TokioExecutor, TokioIo, TokioTimer},
         server::{conn::auto, graceful::GracefulShutdown},
-        service::TowerToHyperService,
     },
+    jasminewall_caller::{CallerMemory, CallerSlot, CallerStream},
     jasminewall_core::{
         ConfigRecord, RecordKind, Refusal, RefusalCode, RequestId, record::EndpointKind,
     },
     serde_json::{Value, json},
     tokio::net::{TcpListener, TcpStream},
     tokio_util::task::TaskTracker,
+    tower::ServiceExt,
 };
 
 use crate::state::RouterState;
@@ -53,8 +55,10 @@
 /// Timeout for connecting to an engine or another router. Without it, callers would hang during a
 /// network partition.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-/// Read buffer of a connection. Bounds the size of headers that are refused without being parsed.
-const READ_BUFFER_BYTES: usize = 256 << 10;
+/// Read buffer of a connection of a caller or to an endpoint. Bounds the size of headers that are
+/// refused without being parsed, and the bytes of a response that wait for a slow caller. With 256 KB,
+/// hundreds of connections exceeded the memory of a small machine.
+pub(crate) const READ_BUFFER_BYTES: usize = 64 << 10;
 /// Header count limit of hyper. The settings have a lower limit, whose refusals carry problem
 /// details.
 const MAX_PARSED_HEADERS: usize = 512;
@@ -70,22 +74,27 @@
     claims: once::ClaimTable,
     tickets: tickets::TicketTable,
     open_requests: AtomicU64,
+    /// Bodies and connections of callers.
+    memory: Arc<CallerMemory>,
 }
 
 impl CallerApi {
     fn new(state: Arc<RouterState>) -> Self {
+        let memory = CallerMemory::new(state.setting.limits.memory_mb);
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         Self {
             state,
             client: Client::builder(TokioExecutor::new())
                 .pool_max_idle_per_host(0)
+                .http1_max_buf_size(READ_BUFFER_BYTES)
                 .build(connector),
             tracker: TaskTracker::new(),
             auth: auth::AuthTable::default(),
             claims: once::ClaimTable::default(),
             tickets: tickets::TicketTable::default(),
             open_requests: AtomicU64::new(0),
+            memory,
         }
     }
 
@@ -162,7 +171,13 @@
             () = state.drain.cancelled() => break,
         };
         match accepted {
-            Ok((stream, _)) => serve_connection(&builder, &graceful, &app, stream),
+            Ok((stream, _)) => {
+                let slot = tokio::select! {
+                    slot = api.memory.admit() => slot,
+                    () = state.drain.cancelled() => break,
+                };
+                serve_connection(&builder, &graceful, &app, &api, stream, slot);
+            }
             Err(error) => {
                 // `accept` fails for all callers when file descriptors run out. The pause lets
                 // running requests release some.
@@ -181,18 +196,38 @@
     builder: &auto::Builder<TokioExecutor>,
     graceful: &GracefulShutdown,
     app: &Router,
+    api: &Arc<CallerApi>,
     stream: TcpStream,
+    slot: Arc<CallerSlot>,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "cannot set TCP_NODELAY");
     }
-    let service = TowerToHyperService::new(app.clone());
+    // The handlers find the slot among the extensions of the request.
+    let service = {
+        let (app, slot) = (app.clone(), slot.clone());
+        service_fn(move |mut request: hyper::Request<Incoming>| {
+            slot.end_head();
+            request.extensions_mut().insert(slot.clone());
+            app.clone().oneshot(request.map(Body::new))
+        })
+    };
+    let stream = CallerStream::new(stream, slot.clone());
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let connection = graceful.watch(connection.into_owned());
+    let api = api.clone();
     tokio::spawn(async move {
-        if let Err(error) = connection.await {
+        let result = tokio::select! {
+            result = connection => result,
+            () = slot.evicted() => {
+                api.state.metrics.count_refusal("connection_evicted");
+                Ok(())
+            }
+        };
+        if let Err(error) = result {
             tracing::debug!(%error, "caller connection failed");
         }
+        slot.release();
     });
 }
 
@@ -208,9 +243,22 @@
         .fallback(unknown_path)
         .method_not_allowed_fallback(unknown_path)
         .layer(middleware::from_fn_with_state(api.clone(), check_head))
+        .layer(middleware::from_fn(guard_response))
         .with_state(api)
 }
 
+/// Tells the slot of the connection when the response ends, and announces that the connection closes.
+async fn guard_response(request: Request, next: Next) -> Response {
+    let slot = request.extensions().get::<Arc<CallerSlot>>().cloned();
+    let mut response = next.run(request).await;
+    let Some(slot) = slot else { return response };
+    if slot.is_closing() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response.map(|body| Body::new(slot.guard(body)))
+}
+
 /// Refuses new work while the router is draining, and requests with too many or too large headers.
 async fn check_head(State(api): State<Arc<CallerApi>>, request: Request, next: Next) -> Response {
     let path = request.uri().path();
--- a/crates/router/src/api/auth.rs
+++ b/crates/router/src/api/auth.rs
@@ -7,7 +7,8 @@
 };
 
 use {
-    axum::http::{HeaderMap, header},
+    axum::http::{HeaderMap, header, request::Parts},
+    jasminewall_caller::CallerSlot,
     jasminewall_core::{
         BudgetId, ConfigRecord, ConfigState, CustomerId, RecordKind, Refusal, RefusalCode,
         RequestId, Revision,
@@ -17,7 +18,7 @@
     sha2::{Digest, Sha256},
 };
 
-use super::CallerApi;
+use super::{CallerApi, execute};
 
 /// Authenticated request, with its budget and route.
 #[derive(Clone, Debug)]
@@ -29,6 +30,8 @@
     pub(super) class: WorkClass,
     pub(super) received_at: Instant,
     pub(super) deadline: Instant,
+    /// Slot of the caller's connection.
+    pub(super) slot: Arc<CallerSlot>,
 }
 
 /// Index of customers by the hash of their API key, and of their default budgets. Rebuilt when the
@@ -145,10 +148,11 @@
     api: &CallerApi,
     id: RequestId,
     received_at: Instant,
-    headers: &HeaderMap,
+    parts: &Parts,
     route: &str,
     kind: EndpointKind,
 ) -> Result<RequestContext, Refusal> {
+    let headers = &parts.headers;
     let config = api.state.fleet.config();
     let customer = api.auth.authenticate(&config, headers)?;
     let budget = api.auth.select_budget(&config, &customer, headers)?;
@@ -158,6 +162,7 @@
         _ => return Err(RefusalCode::UnknownRoute.into()),
     };
     Ok(RequestContext {
+        slot: execute::slot_of(parts)?,
         id,
         customer,
         budget,
--- a/crates/router/src/api/completions.rs
+++ b/crates/router/src/api/completions.rs
@@ -130,13 +130,13 @@
     api.auth
         .authenticate(&api.state.fleet.config(), &parts.headers)?;
     check_content_type(&parts.headers)?;
-    let raw_body = execute::read_body(&api, &parts.headers, body).await?;
+    let raw_body = execute::read_body(&api, &parts, body).await?;
     let mut completion = CompletionRequest::parse(&raw_body)?;
     let context = auth::authorize(
         &api,
         id,
         received_at,
-        &parts.headers,
+        &parts,
         &completion.model,
         EndpointKind::ModelEngine,
     )?;
--- a/crates/router/src/api/execute.rs
+++ b/crates/router/src/api/execute.rs
@@ -5,10 +5,10 @@
 use {
     axum::{
         body::{Body, Bytes},
-        http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header},
+        http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header, request::Parts},
         response::Response,
     },
-    http_body_util::{BodyExt, LengthLimitError, Limited},
+    jasminewall_caller::{BodyError, CallerSlot},
     jasminewall_core::{Refusal, RefusalCode, RequestId, Tokens, refusal::RunState},
     serde::Deserialize,
     tokio::time::Instant as TokioInstant,
@@ -114,25 +114,35 @@
     id != request.as_str() && id.starts_with("jw-")
 }
 
-/// Reads a request body within the limits of the settings.
+/// Slot of the connection of a request.
+pub(super) fn slot_of(parts: &Parts) -> Result<Arc<CallerSlot>, Refusal> {
+    let slot = parts.extensions.get::<Arc<CallerSlot>>();
+    Ok(slot.ok_or(RefusalCode::InternalError)?.clone())
+}
+
+/// Reads a request body within the limits of the settings and the memory for bodies.
 pub(super) async fn read_body(
     api: &CallerApi,
-    headers: &HeaderMap,
+    parts: &Parts,
     body: Body,
 ) -> Result<Bytes, Refusal> {
     let limits = &api.state.setting.limits;
-    let length = headers.get(header::CONTENT_LENGTH);
-    let length = length.and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
-    if length.is_some_and(|length| length > limits.body_bytes) {
-        return Err(RefusalCode::BodyTooLarge.into());
-    }
-    let collected = Limited::new(body, limits.body_bytes).collect();
-    match tokio::time::timeout(limits.body_timeout, collected).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RefusalCode::BodyTooLarge.into()),
-        Ok(Err(_)) => Err(Refusal::new(RefusalCode::InvalidRequest)
+    let slot = slot_of(parts)?;
+    let read = api.memory.read_body(body, limits.body_bytes, &slot);
+    match tokio::time::timeout(limits.body_timeout, read).await {
+        Ok(Ok(bytes)) => {
+            slot.begin();
+            Ok(bytes)
+        }
+        Ok(Err(BodyError::TooLarge)) => Err(RefusalCode::BodyTooLarge.into()),
+        Ok(Err(BodyError::Broken)) => Err(Refusal::new(RefusalCode::InvalidRequest)
             .note("The request body ended early; send all of it.")),
-        Err(_) => Err(RefusalCode::RequestTimeout.into()),
+        Ok(Err(BodyError::MemoryFull)) => Err(RefusalCode::BodyMemoryFull.into()),
+        Ok(Err(BodyError::Stalled)) => Err(RefusalCode::RequestTimeout.into()),
+        Err(_) => {
+            slot.close_after_response();
+            Err(RefusalCode::RequestTimeout.into())
+        }
     }
 }
 
@@ -290,11 +300,13 @@
     } = dispatched;
     let (parts, body) = response.into_parts();
     let deadline = TokioInstant::from_std(job.deadline);
-    let collected = Limited::new(body, context.route.answer_limit_bytes).collect();
+    let limit = context.route.answer_limit_bytes;
+    let collected = api
+        .memory
+        .read_response(body, limit, &context.slot, job.deadline);
     let refusal = match tokio::time::timeout_at(deadline, collected).await {
-        Ok(Ok(collected)) => {
+        Ok(Ok(body)) => {
             guard.complete();
-            let body = collected.to_bytes();
             return check_response(
                 api,
                 context,
@@ -303,7 +315,13 @@
                 price,
             );
         }
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+        Ok(Err(BodyError::MemoryFull | BodyError::Stalled)) => {
+            // The endpoint is not to blame: callers do not read their responses.
+            tracing::warn!(request = %context.id, "no memory for the response");
+            guard.complete();
+            RefusalCode::OutcomeUnknown
+        }
+        Ok(Err(BodyError::TooLarge)) => {
             guard.complete();
             let refusal = Refusal::new(RefusalCode::AnswerTooLarge);
             let (tokens, outcome) = match price {
@@ -312,7 +330,7 @@
             };
             return Err(refusal.charged(settle(api, context, tokens, outcome)));
         }
-        Ok(Err(_)) => {
+        Ok(Err(BodyError::Broken)) => {
             guard.fail();
             RefusalCode::OutcomeUnknown
         }
--- a/crates/router/src/api/services.rs
+++ b/crates/router/src/api/services.rs
@@ -26,11 +26,11 @@
         &api,
         id,
         received_at,
-        &parts.headers,
+        &parts,
         route,
         EndpointKind::PlainService,
     )?;
-    let body = execute::read_body(&api, &parts.headers, body).await?;
+    let body = execute::read_body(&api, &parts, body).await?;
     let price = context.route.price;
     let job = execute::build_job(
         &api,
--- a/crates/router/src/api/tickets.rs
+++ b/crates/router/src/api/tickets.rs
@@ -202,7 +202,7 @@
     let customer = api.auth.authenticate(&config, &parts.headers)?;
     let budget = api.auth.select_budget(&config, &customer, &parts.headers)?;
     completions::check_content_type(&parts.headers)?;
-    let body = execute::read_body(&api, &parts.headers, body).await?;
+    let body = execute::read_body(&api, &parts, body).await?;
     let ticket_request: TicketRequest = serde_json::from_slice(&body).map_err(|error| {
         Refusal::new(RefusalCode::InvalidRequest)
             .note(format!("Send {{\"route\": NAME}} as the body: {error}."))
--- a/crates/router/src/dispatch/table.rs
+++ b/crates/router/src/dispatch/table.rs
@@ -191,6 +191,7 @@
     connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
     connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
     Client::builder(TokioExecutor::new())
+        .http1_max_buf_size(crate::api::READ_BUFFER_BYTES)
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_timer(TokioTimer::new())
         .build(connector)
--- a/crates/setting/src/lib.rs
+++ b/crates/setting/src/lib.rs
@@ -192,16 +192,15 @@
         Duration::from_millis(self.count(section, key, Some(default)))
     }
 
-    /// Parses `memory_mb` of a section: the memory of the machine in MB, if known.
+    /// Parses `memory_mb` of a section: the memory of the machine in MB, if known. Platforms give it
+    /// with or without a decimal point.
     pub fn memory(&mut self, section: &str) -> Option<usize> {
-        let memory = self.optional(section, "memory_mb", "a whole number above 0")?;
-        if memory == 0 {
-            self.push_error(format!(
-                "[{section}] memory_mb: write a whole number above 0"
-            ));
-            return None;
+        let memory: f64 = self.optional(section, "memory_mb", "a number from 1")?;
+        if memory.is_finite() && memory >= 1.0 {
+            return Some(memory as usize);
         }
-        Some(memory)
+        self.push_error(format!("[{section}] memory_mb: write a number from 1"));
+        None
     }
 
     /// Parses a comma-separated list.
--- a/crates/testkit/tests/caller_refusals.rs
+++ b/crates/testkit/tests/caller_refusals.rs
@@ -25,6 +25,7 @@
         header_bytes: 2_048,
         header_count: 20,
         header_timeout: Duration::from_millis(300),
+        memory_mb: None,
     };
     let fleet = start_fleet(limits).await.unwrap();
     let address = fleet.routers[0].address;
--- a/crates/testkit/tests/caller_settings.rs
+++ b/crates/testkit/tests/caller_settings.rs
@@ -88,7 +88,11 @@
         .count();
     let keys = programs.into_iter().flatten().map(|(_, keys)| keys.len());
     assert_eq!(rows, keys.sum::<usize>());
-    let names = [METRIC_NAMES, jasminewall_forward::METRIC_NAMES];
+    let names = [
+        METRIC_NAMES,
+        jasminewall_forward::METRIC_NAMES,
+        jasminewall_caller::METRIC_NAMES,
+    ];
     for name in names.into_iter().flatten() {
         assert!(
             METRICS_DOC.contains(&format!("| `{name}` |")),
