Reject undefined statuses of endpoints in run and embed

Cause: as in serve, a status from 600 to 999 reached the caller as a response.

Change: such a status fails the attempt with an unknown outcome. It is a failure of its own, since the endpoint did not crash.

Result: undefined_status_is_not_a_response failed before the change (600 was relayed) and passes; the other 7 tests of caller_services, and those of routing_life and routing_endpoints, pass.

--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -71,6 +71,8 @@
     ReportedNotRun,
     /// The connection was lost after bytes of the request were sent.
     ConnectionLost,
+    /// The endpoint sent a response whose status does not exist.
+    InvalidResponse,
     /// The endpoint made no progress before the progress deadline.
     TimedOut,
 }
--- a/crates/router/src/dispatch/attempt.rs
+++ b/crates/router/src/dispatch/attempt.rs
@@ -16,6 +16,8 @@
 use super::{DispatchJob, share};
 use crate::{spend, state::RouterState};
 
+/// First status that HTTP does not define. The HTTP client rejects those below 100 only.
+const STATUS_END: u16 = 600;
 /// Timeout for connecting to an endpoint that may have crashed.
 const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time within which several broken connections to an endpoint count as a crash.
@@ -43,7 +45,12 @@
     let client = state.routing.client(&endpoint.name);
     let limit = head_limit(state, job);
     let failure = match timeout(limit, client.request(outgoing)).await {
-        Ok(Ok(response)) => return Ok(response),
+        Ok(Ok(response)) if response.status().as_u16() < STATUS_END => return Ok(response),
+        Ok(Ok(response)) => {
+            let status = response.status().as_u16();
+            tracing::warn!(request = %job.request, endpoint = %endpoint.name, status, "the status of the response does not exist");
+            AttemptFailure::InvalidResponse
+        }
         Ok(Err(error)) => {
             tracing::warn!(request = %job.request, endpoint = %endpoint.name, %error, "request to the endpoint failed");
             if error.is_connect() {
--- a/crates/testkit/tests/caller_services.rs
+++ b/crates/testkit/tests/caller_services.rs
@@ -133,6 +133,22 @@
     assert_eq!(stop(fleet).await, 1);
 }
 
+/// Guards against a status that HTTP does not define and that reaches the caller as a response.
+#[tokio::test]
+async fn undefined_status_is_not_a_response() {
+    let (fleet, clients) = start().await;
+    for status in [600, 999] {
+        let path = format!("/svc/catalogue/panes?status={status}");
+        let response = clients[0].send(Method::GET, &path, &[], "").await.unwrap();
+        assert_eq!(
+            (response.status, response.code().as_str()),
+            (502, "outcome_unknown"),
+            "{status}"
+        );
+    }
+    fleet.stop().await;
+}
+
 /// Guards against wrong charges and run states when a service fails, exceeds a limit or returns the
 /// response to another request.
 #[tokio::test]
