Count lent tokens as possibly returned for a second only

Cause: callers of a budget that is spent got 503 instead of 402 for up to ten seconds after the last tokens were given, because everything that owners gave in that time counted as possibly returned. Change: the window is half a second.

--- a/crates/forward/src/supply.rs
+++ b/crates/forward/src/supply.rs
@@ -28,9 +28,11 @@
 /// Shortest interval over which the returns of refused callers are spread: several times the
 /// difference between the refusals of one shortage.
 const SPREAD_MIN: Duration = Duration::from_millis(200);
-/// Tokens given to peers count as possibly returned for this time to twice this time. Nearly all
-/// requests have ended by then, and what they did not use was handed back.
-const LENT_WINDOW: Duration = Duration::from_secs(5);
+/// Tokens given to peers count as possibly returned for this time to twice this time. What a router
+/// took ahead of its demand and did not use comes back within it. Of what requests use, only the
+/// surplus of their largest output returns later; counting all of it would keep callers of a spent
+/// budget returning for seconds.
+const LENT_WINDOW: Duration = Duration::from_millis(500);
 
 /// Longest wait of a request for tokens.
 pub fn longest_wait(target_latency: Duration, is_large: bool) -> Duration {
