--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -31,8 +31,6 @@
     pub(crate) deadline: Instant,
     /// Tokens charged for each event of a stream.
     pub(crate) event_tokens: Tokens,
-    /// Tokens of running requests that fit into an engine's memory, if known.
-    pub(crate) kv_capacity: Option<Tokens>,
     pub(crate) hold: Option<BudgetHold>,
     pub(crate) priority: Option<u8>,
     /// What is suspected if an endpoint crashes while it runs the request.
--- a/crates/forward/src/balancer.rs
+++ b/crates/forward/src/balancer.rs
@@ -15,8 +15,8 @@
     group::NEIGHBOUR_LIMIT,
     placement::{
         COMPARE_ALL_MAX, Candidate, EngineCost, EngineFit, EngineOutlook, Placement,
-        PlacementQuery, PrefillRate, RUNNING_COST_MS, RankRule, held_by, home_engines,
-        prefix_chain, select_candidates, shared_tokens,
+        PlacementQuery, PrefillRate, RUNNING_COST_MS, RankRule, home_engines, prefix_chain,
+        select_candidates, shared_tokens,
     },
     port::{EndpointLoad, EndpointSignals},
     record::EndpointRecord,
@@ -65,8 +65,6 @@
 /// report theirs. Most routers of such a fleet are no neighbours, and their prompts wait at the
 /// same engines.
 const UNKNOWN_UNREAD_FACTOR: Tokens = 2;
-/// Weight of a request in the average of the tokens that requests hold; it follows the last fifty.
-const HELD_WEIGHT: f64 = 0.02;
 /// Largest number of prompt prefixes that are remembered for an endpoint.
 const PREFIX_LIMIT: usize = 512;
 /// Age at which the load reported by another router is dropped. Routers repeat loads above zero
@@ -86,7 +84,6 @@
     endpoint: EndpointId,
     started_ms: u64,
     uncached: Tokens,
-    held_tokens: Tokens,
     /// Whether the endpoint had no other unread prompt when the request was sent, as far as known.
     only_unread: bool,
     predicted_ms: f64,
@@ -132,8 +129,6 @@
     prefill_rate: f64,
     /// Rate by which requests with a target latency are placed.
     target_rate: PrefillRate,
-    /// Moving average of the tokens that a running request of a prompt may hold.
-    usual_held_tokens: f64,
     /// Moving average of the share of long prompts in all prompt tokens.
     long_prompt_share: f64,
     changed: HashSet<EndpointId>,
@@ -147,8 +142,6 @@
 struct EndpointStats {
     started_ms: u64,
     running: u32,
-    /// Tokens of this router's running requests, with those that they may generate.
-    held_tokens: Tokens,
     unread_tokens: Tokens,
     loads: HashMap<VmId, (RouterLoad, Instant)>,
     /// Sum of the running requests in `loads`.
@@ -203,7 +196,6 @@
         Self {
             started_ms,
             running: 0,
-            held_tokens: 0,
             unread_tokens: 0,
             loads: HashMap::new(),
             other_running: 0,
@@ -305,7 +297,6 @@
             usual_latency_ms: INITIAL_LATENCY_MS,
             prefill_rate: INITIAL_PREFILL_RATE,
             target_rate: PrefillRate::new(INITIAL_PREFILL_RATE),
-            usual_held_tokens: 0.0,
             long_prompt_share: 0.0,
             changed: HashSet::new(),
             last_message: HashMap::new(),
@@ -407,7 +398,6 @@
                 cost_ms: (expected.cost_ms + cross_domain + connect + failure) * jitter,
                 start_ms: (expected.start_ms + failure) * jitter,
                 uncached: expected.uncached,
-                fits: self.fits(stats, query, now),
             });
         }
         if let Some(prompt) = query.prompt {
@@ -532,16 +522,11 @@
     ) -> InFlight {
         let record = &placement.record;
         let usual_latency_ms = self.usual_latency_ms;
-        let held_tokens = prompt.map_or(0, held_by);
-        if prompt.is_some() {
-            self.usual_held_tokens += (held_tokens as f64 - self.usual_held_tokens) * HELD_WEIGHT;
-        }
         self.changed.insert(record.id.clone());
         self.allowances.take(record, now);
         let stats = self.stats_mut(record, now);
         let only_unread = stats.known_load().1 == 0;
         stats.running += 1;
-        stats.held_tokens += held_tokens;
         stats.unread_tokens += placement.uncached;
         let predicted_ms = match prompt {
             Some(prompt) => {
@@ -554,7 +539,6 @@
             endpoint: record.id.clone(),
             started_ms: record.started_ms,
             uncached: placement.uncached,
-            held_tokens,
             only_unread,
             predicted_ms,
             sent: now,
@@ -605,7 +589,6 @@
             return;
         };
         stats.running = stats.running.saturating_sub(1);
-        stats.held_tokens = stats.held_tokens.saturating_sub(in_flight.held_tokens);
         if !in_flight.responded {
             stats.unread_tokens = stats.unread_tokens.saturating_sub(in_flight.uncached);
         }
@@ -723,17 +706,6 @@
         }
     }
 
-    /// Whether a request fits into the memory of an engine beside those that are known to run there.
-    /// Requests of other routers count with the usual size.
-    fn fits(&self, stats: &EndpointStats, query: PlacementQuery<'_>, now: Instant) -> bool {
-        let (Some(prompt), Some(memory)) = (query.prompt, query.memory) else {
-            return true;
-        };
-        let others = (stats.outstanding(now).0 - f64::from(stats.running)).max(0.0);
-        let held_tokens = stats.held_tokens as f64 + others * self.usual_held_tokens;
-        held_tokens + held_by(prompt) as f64 <= memory as f64
-    }
-
     fn outlook(
         &self,
         stats: &EndpointStats,
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -326,7 +326,6 @@
             regions,
             deadline,
             event_tokens: engine.map_or(1, |rule| rule.event_tokens.max(1)),
-            kv_capacity: engine.and_then(|rule| rule.kv_capacity),
             hold,
             priority: engine.map(|_| priority.unwrap_or(route.priority).min(9)),
             suspects,
@@ -668,7 +667,6 @@
                 latency: admitted.route.target_latency,
                 start_by: admitted.request.arrived + admitted.route.target_latency,
             }),
-            memory: admitted.kv_capacity.filter(|_| by_target),
         };
         let mut balancer = self.balancer();
         let chosen = balancer.choose(&records, query, now, &mut rand::rng());
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -67,8 +67,6 @@
     pub connected: Option<&'a HashSet<SocketAddr>>,
     /// When the response should begin; `None` to choose by cost alone.
     pub target: Option<LatencyTarget>,
-    /// Tokens of running requests that fit into an engine's memory; `None` if unknown.
-    pub memory: Option<Tokens>,
 }
 
 /// When the response to a request should begin.
@@ -212,8 +210,6 @@
     pub(crate) start_ms: f64,
     /// Prompt tokens that the endpoint has probably not cached.
     pub(crate) uncached: Tokens,
-    /// Whether the request probably fits into the endpoint's memory beside those that run there.
-    pub(crate) fits: bool,
 }
 
 impl LatencyTarget {
@@ -235,8 +231,6 @@
     Late,
     /// Even an idle engine could not read the prompt in time.
     OutOfReach,
-    /// The request probably does not fit into the memory of any compared engine.
-    MemoryFull,
 }
 
 impl PlacementOutlook {
@@ -247,7 +241,6 @@
             Self::InTime => "in_time",
             Self::Late => "late",
             Self::OutOfReach => "out_of_reach",
-            Self::MemoryFull => "memory_full",
         }
     }
 }
@@ -287,8 +280,7 @@
         matches!(self, Self::InTime(budget_ms) if candidate.start_ms > budget_ms)
     }
 
-    /// Sorts the endpoints of a decision, best first. Those without enough memory are last, since
-    /// they would preempt a request.
+    /// Sorts the endpoints of a decision, best first.
     pub(crate) fn sort(self, candidates: &mut [Candidate<'_>]) {
         let rank = |candidate: &Candidate<'_>| {
             let is_late = self.is_late(candidate);
@@ -297,18 +289,16 @@
             } else {
                 candidate.cost_ms
             };
-            (!candidate.fits, is_late, value)
+            (is_late, value)
         };
         candidates.sort_by(|left, right| {
             let (left, right) = (rank(left), rank(right));
-            let class = (left.0, left.1).cmp(&(right.0, right.1));
-            class.then(left.2.total_cmp(&right.2))
+            left.0.cmp(&right.0).then(left.1.total_cmp(&right.1))
         });
     }
 
     pub(crate) fn outlook(self, chosen: &Candidate<'_>) -> PlacementOutlook {
         match self {
-            _ if !chosen.fits => PlacementOutlook::MemoryFull,
             Self::Cost => PlacementOutlook::ByCost,
             Self::OutOfReach => PlacementOutlook::OutOfReach,
             Self::InTime(_) if self.is_late(chosen) => PlacementOutlook::Late,
@@ -330,11 +320,6 @@
     chain
 }
 
-/// Tokens that a running request of a prompt may hold in the memory of its engine.
-pub(crate) fn held_by(prompt: &PromptSpec) -> Tokens {
-    prompt.input_tokens + prompt.max_output_tokens
-}
-
 /// Tokens of the shared parts of a prompt, which are all except the last one.
 pub(crate) fn shared_tokens(chain: &[(u64, Tokens)]) -> Tokens {
     chain.len().checked_sub(2).map_or(0, |last| chain[last].1)
--- a/crates/forward/src/record.rs
+++ b/crates/forward/src/record.rs
@@ -101,8 +101,6 @@
 pub struct EngineRule {
     /// Largest number of tokens in one event of a stream.
     pub event_tokens: Tokens,
-    /// Tokens of running requests that fit into the memory of an engine; `None` if unknown.
-    pub kv_capacity: Option<Tokens>,
 }
 
 /// Group of interchangeable endpoints.
