--- a/crates/forward/src/balancer.rs
+++ b/crates/forward/src/balancer.rs
@@ -357,11 +357,7 @@
         let reserved_engines = self.reserved_engines(query, records, now);
         let unreserved = candidates.iter().copied();
         let unreserved = unreserved.filter(|record| !reserved_engines.contains(&record.id));
-        let homes = home_engines(
-            &chain,
-            unreserved,
-            if query.target.is_some() { 2 } else { 1 },
-        );
+        let homes = home_engines(&chain, unreserved, 1);
         let rate = self.rate_for(query);
         let mut ranked = Vec::with_capacity(candidates.len());
         for record in candidates {
@@ -370,7 +366,6 @@
                 Some(prompt) => {
                     let fit = EngineFit {
                         is_home: homes.first().is_some_and(|home| home.id == record.id),
-                        is_next_home: homes.get(1).is_some_and(|home| home.id == record.id),
                         is_reserved: reserved_engines.contains(&record.id),
                         is_long,
                     };
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -34,10 +34,6 @@
 const WAITING_COST_MS: f64 = 60.0;
 /// Number of endpoints up to which a decision compares all of them.
 pub(crate) const COMPARE_ALL_MAX: usize = 32;
-/// Probability that the second engine by rendezvous hashing must read the shared parts of a prompt
-/// again. Prompts that the first one cannot read in time go there, so that only one more engine caches
-/// the parts, but a router does not see whether others have sent any.
-const NEXT_HOME_REREAD: f64 = 0.5;
 /// Part of the target latency that a response which counts as in time is expected to leave: for the
 /// network, for the first event after the prompt was read, and for requests of routers whose loads
 /// are not known.
@@ -102,9 +98,6 @@
 pub(crate) struct EngineFit {
     /// Whether the engine is the one that caches the shared parts of the prompt.
     pub(crate) is_home: bool,
-    /// Whether the engine takes the prompts with these shared parts that the home cannot read in
-    /// time.
-    pub(crate) is_next_home: bool,
     /// Whether the engine is reserved for long prompts.
     pub(crate) is_reserved: bool,
     /// Whether the prompt is long.
@@ -181,11 +174,6 @@
         let wait_ms = self.unread_tokens as f64 / self.prefill_rate;
         let load_ms = self.running * RUNNING_COST_MS + self.waiting * WAITING_COST_MS;
         let reread = shared.saturating_sub(cached_tokens) as f64 * REREAD_COST_MS;
-        let reread = if fit.is_next_home {
-            reread * NEXT_HOME_REREAD
-        } else {
-            reread
-        };
         let misplaced = match (fit.is_long, fit.is_reserved) {
             (true, false) => self.running * read_ms * INTERFERENCE_SHARE,
             (false, true) => RESERVED_COST_MS,
