--- a/crates/forward/src/balancer.rs
+++ b/crates/forward/src/balancer.rs
@@ -398,11 +398,7 @@
         if let Some(prompt) = query.prompt {
             self.record_demand(prompt.input_tokens, is_long);
         }
-        let shared = shared_tokens(&chain);
-        let own_tokens = query
-            .prompt
-            .map_or(0, |prompt| prompt.input_tokens.saturating_sub(shared));
-        let rule = RankRule::new(query, own_tokens, rate, now);
+        let rule = RankRule::new(query, now);
         rule.sort(&mut ranked);
         let best = *ranked.first()?;
         let stats = self.stats.get(&best.record.id)?;
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -217,8 +217,6 @@
     InTime,
     /// The response begins late, and would at each compared endpoint at the moment.
     Late,
-    /// Even an idle engine could not read the prompt in time.
-    OutOfReach,
 }
 
 impl PlacementOutlook {
@@ -228,7 +226,6 @@
             Self::ByCost => "by_cost",
             Self::InTime => "in_time",
             Self::Late => "late",
-            Self::OutOfReach => "out_of_reach",
         }
     }
 }
@@ -241,27 +238,14 @@
     /// The cheapest of those that are expected to begin the response within this time in ms; if
     /// there is none, the earliest.
     InTime(f64),
-    /// The cheapest, since the response is late at each endpoint. The cost of a long prompt grows
-    /// with the requests that it delays.
-    OutOfReach,
 }
 
 impl RankRule {
-    /// Rule for a prompt with `own_tokens` in its own part, at engines that read `rate` tokens per ms.
-    pub(crate) fn new(
-        query: PlacementQuery<'_>,
-        own_tokens: Tokens,
-        rate: f64,
-        now: Instant,
-    ) -> Self {
+    pub(crate) fn new(query: PlacementQuery<'_>, now: Instant) -> Self {
         let (Some(_), Some(target)) = (query.prompt, query.target) else {
             return Self::Cost;
         };
-        let budget_ms = target.budget_ms(now);
-        if own_tokens as f64 / rate > budget_ms {
-            return Self::OutOfReach;
-        }
-        Self::InTime(budget_ms)
+        Self::InTime(target.budget_ms(now))
     }
 
     fn is_late(self, candidate: &Candidate<'_>) -> bool {
@@ -288,7 +272,6 @@
     pub(crate) fn outlook(self, chosen: &Candidate<'_>) -> PlacementOutlook {
         match self {
             Self::Cost => PlacementOutlook::ByCost,
-            Self::OutOfReach => PlacementOutlook::OutOfReach,
             Self::InTime(_) if self.is_late(chosen) => PlacementOutlook::Late,
             Self::InTime(_) => PlacementOutlook::InTime,
         }
