--- a/crates/forward/src/balancer.rs
+++ b/crates/forward/src/balancer.rs
@@ -14,9 +14,9 @@
     allowance::{AllowanceTable, LimitSharing, RateReport, RunId, SendPermit},
     group::NEIGHBOUR_LIMIT,
     placement::{
-        COMPARE_ALL_MAX, Candidate, EngineCost, EngineFit, EngineOutlook, Placement,
-        PlacementQuery, PrefillRate, RUNNING_COST_MS, RankRule, home_engines, prefix_chain,
-        select_candidates, shared_tokens,
+        COMPARE_ALL_MAX, Candidate, EngineFit, EngineOutlook, Placement, PlacementQuery,
+        RUNNING_COST_MS, home_engines, prefix_chain, rank_candidates, select_candidates,
+        shared_tokens,
     },
     port::{EndpointLoad, EndpointSignals},
     record::EndpointRecord,
@@ -61,10 +61,6 @@
 const INITIAL_LATENCY_MS: f64 = 40.0;
 /// Prompt tokens over which the share of long prompts is averaged; a few hundred requests.
 const DEMAND_WINDOW_TOKENS: f64 = 500_000.0;
-/// Unread prompt tokens for each one that a neighbour reported, in fleets in which only neighbours
-/// report theirs. Most routers of such a fleet are no neighbours, and their prompts wait at the
-/// same engines.
-const UNKNOWN_UNREAD_FACTOR: Tokens = 2;
 /// Largest number of prompt prefixes that are remembered for an endpoint.
 const PREFIX_LIMIT: usize = 512;
 /// Age at which the load reported by another router is dropped. Routers repeat loads above zero
@@ -127,8 +123,6 @@
     share_at: Option<Instant>,
     usual_latency_ms: f64,
     prefill_rate: f64,
-    /// Rate by which requests with a target latency are placed.
-    target_rate: PrefillRate,
     /// Moving average of the share of long prompts in all prompt tokens.
     long_prompt_share: f64,
     changed: HashSet<EndpointId>,
@@ -296,7 +290,6 @@
             share_at: None,
             usual_latency_ms: INITIAL_LATENCY_MS,
             prefill_rate: INITIAL_PREFILL_RATE,
-            target_rate: PrefillRate::new(INITIAL_PREFILL_RATE),
             long_prompt_share: 0.0,
             changed: HashSet::new(),
             last_message: HashMap::new(),
@@ -357,25 +350,20 @@
         let reserved_engines = self.reserved_engines(query, records, now);
         let unreserved = candidates.iter().copied();
         let unreserved = unreserved.filter(|record| !reserved_engines.contains(&record.id));
-        let homes = home_engines(&chain, unreserved, 1);
-        let rate = self.rate_for(query);
+        let home = home_engines(&chain, unreserved, 1).pop();
         let mut ranked = Vec::with_capacity(candidates.len());
         for record in candidates {
             let stats = self.stats.get(&record.id)?;
-            let expected = match query.prompt {
+            let (cost, uncached) = match query.prompt {
                 Some(prompt) => {
                     let fit = EngineFit {
-                        is_home: homes.first().is_some_and(|home| home.id == record.id),
+                        is_home: home.is_some_and(|home| home.id == record.id),
                         is_reserved: reserved_engines.contains(&record.id),
                         is_long,
                     };
-                    self.outlook(stats, query, &chain, now)
-                        .cost(prompt, &chain, fit)
+                    self.outlook(stats, &chain, now).cost(prompt, &chain, fit)
                 }
-                None => EngineCost {
-                    cost_ms: self.service_cost(stats, record, now),
-                    ..EngineCost::default()
-                },
+                None => (self.service_cost(stats, record, now), 0),
             };
             let cross_domain = if record.domain == self.domain {
                 0.0
@@ -390,16 +378,14 @@
             let jitter = 1.0 + rng.random::<f64>() * JITTER;
             ranked.push(Candidate {
                 record,
-                cost_ms: (expected.cost_ms + cross_domain + connect + failure) * jitter,
-                start_ms: (expected.start_ms + failure) * jitter,
-                uncached: expected.uncached,
+                cost_ms: (cost + cross_domain + connect + failure) * jitter,
+                uncached,
             });
         }
         if let Some(prompt) = query.prompt {
             self.record_demand(prompt.input_tokens, is_long);
         }
-        let rule = RankRule::new(query, now);
-        rule.sort(&mut ranked);
+        rank_candidates(&mut ranked);
         let best = *ranked.first()?;
         let stats = self.stats.get(&best.record.id)?;
         Some(Placement {
@@ -409,8 +395,7 @@
                 .get(1)
                 .map(|other| (other.record.id.clone(), other.cost_ms)),
             uncached: best.uncached,
-            outlook: rule.outlook(&best),
-            wait_ms: self.expected_ms(stats, best.uncached, rate),
+            wait_ms: self.expected_ms(stats, best.uncached),
             report_age: stats
                 .load
                 .map(|(_, seen)| now.saturating_duration_since(seen)),
@@ -552,7 +537,6 @@
         if in_flight.only_unread && in_flight.uncached >= MEASURED_TOKENS_MIN {
             let rate = in_flight.uncached as f64 / taken_ms.max(1.0);
             self.prefill_rate += (rate - self.prefill_rate) * 0.1;
-            self.target_rate.observe(rate);
         }
         if in_flight.uncached == 0 {
             self.usual_latency_ms += (taken_ms - self.usual_latency_ms) * 0.05;
@@ -689,31 +673,17 @@
         self.long_prompt_share += (observed - self.long_prompt_share) * weight;
     }
 
-    /// Prompt tokens that an engine reads per ms, for the placement of a request.
-    fn rate_for(&self, query: PlacementQuery<'_>) -> f64 {
-        match query.target {
-            Some(_) => self.target_rate.get(),
-            None => self.prefill_rate,
-        }
-    }
-
     fn outlook(
         &self,
         stats: &EndpointStats,
-        query: PlacementQuery<'_>,
         chain: &[(u64, Tokens)],
         now: Instant,
     ) -> EngineOutlook {
         let (running, waiting) = stats.outstanding(now);
-        let unknown_factor = if query.target.is_some() && !self.knows_all_loads() {
-            UNKNOWN_UNREAD_FACTOR
-        } else {
-            1
-        };
         EngineOutlook {
-            prefill_rate: self.rate_for(query),
+            prefill_rate: self.prefill_rate,
             cached_tokens: stats.cached_tokens(chain),
-            unread_tokens: stats.unread_tokens + stats.other_unread * unknown_factor,
+            unread_tokens: stats.known_load().1,
             running,
             waiting,
             slowdown: stats.slowdown(now),
@@ -721,9 +691,9 @@
     }
 
     /// Time to the first event, without the slowdown of the engine.
-    fn expected_ms(&self, stats: &EndpointStats, uncached: Tokens, rate: f64) -> f64 {
+    fn expected_ms(&self, stats: &EndpointStats, uncached: Tokens) -> f64 {
         let (running, unread_tokens) = stats.known_load();
-        let read_ms = (uncached + unread_tokens) as f64 / rate;
+        let read_ms = (uncached + unread_tokens) as f64 / self.prefill_rate;
         read_ms + f64::from(running) * RUNNING_COST_MS
     }
 
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -29,7 +29,7 @@
     metric::ForwardMetrics,
     notice::FleetNotice,
     origin::{StreamOrigin, StreamOrigins},
-    placement::{LatencyTarget, PlacementQuery},
+    placement::PlacementQuery,
     port::{CallError, EndpointCall, EndpointPort, EndpointResponse, PortState, SendCount},
     record::{FleetConfig, RetryPolicy, ServiceId},
     request::{ForwardRequest, ForwardResponse, RefusalKind},
@@ -48,9 +48,6 @@
 /// smaller fleet has connections to all endpoints that it uses, and a preference for the first ones
 /// would only bunch requests there.
 const PREFER_CONNECTED_MIN: usize = 17;
-/// Number of routers from which engines are chosen by the target latency. A router of a smaller fleet
-/// knows the loads of all others, and the cost alone chooses as well there.
-const PLACE_BY_TARGET_MIN: usize = 17;
 /// Number of connection failures after which a request is refused.
 const CONNECT_LIMIT: u32 = 6;
 /// Time after a broken connection within which the port of a crashed endpoint closes.
@@ -652,21 +649,16 @@
             }
         }
         let prompt = admitted.request.prompt.as_ref();
-        let routers = self.routers.load(Ordering::Relaxed);
-        let connected = (routers >= PREFER_CONNECTED_MIN).then(|| {
+        let prefers_connected = self.routers.load(Ordering::Relaxed) >= PREFER_CONNECTED_MIN;
+        let connected = prefers_connected.then(|| {
             let retryable = admitted.route.retry_policy.may_retry();
             self.endpoints.connected(retryable)
         });
-        let by_target = routers >= PLACE_BY_TARGET_MIN;
         let query = PlacementQuery {
             prompt,
             max_gap: admitted.route.target_gap,
             excluded: &admitted.excluded,
             connected: connected.as_ref(),
-            target: by_target.then(|| LatencyTarget {
-                latency: admitted.route.target_latency,
-                start_by: admitted.request.arrived + admitted.route.target_latency,
-            }),
         };
         let mut balancer = self.balancer();
         let chosen = balancer.choose(&records, query, now, &mut rand::rng());
@@ -689,9 +681,8 @@
         if placement.record.cold.is_some() {
             self.metrics.cold_send();
         }
-        self.metrics.placed(placement.outlook);
         tracing::info!(
-            request = %admitted.request.id, endpoint = %placement.record.id, software = %placement.record.software, cost_ms = placement.cost_ms as u64, outlook = placement.outlook.name(), wait_ms = placement.wait_ms as u64,
+            request = %admitted.request.id, endpoint = %placement.record.id, software = %placement.record.software, cost_ms = placement.cost_ms as u64,
             runner_up = ?placement.runner_up.as_ref().map(|(id, _)| id.as_str()),
             runner_up_ms = placement.runner_up.as_ref().map_or(0, |(_, cost)| *cost as u64),
             uncached = placement.uncached, send = admitted.sends,
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -59,7 +59,7 @@
     },
     metric::METRIC_NAMES,
     node::{ForwardNode, ForwardPorts},
-    placement::{LatencyTarget, Placement, PlacementOutlook, PlacementQuery},
+    placement::{Placement, PlacementQuery},
     setting::ForwardSetting,
     sse::{EventSplitter, StreamEvent},
 };
--- a/crates/forward/src/metric.rs
+++ b/crates/forward/src/metric.rs
@@ -10,7 +10,7 @@
     http::StatusCode,
 };
 
-use crate::{placement::PlacementOutlook, request::RefusalKind};
+use crate::request::RefusalKind;
 
 /// Prefix of all metric names.
 const PREFIX: &str = "jasminewall";
@@ -19,7 +19,6 @@
     "answers",
     "refusals",
     "token_asks",
-    "placements",
     "endpoint_rejections",
     "endpoint_losses",
     "restricted_requests",
@@ -186,12 +185,6 @@
         let _ = counter.with_tag("outcome", outcome).try_send();
     }
 
-    /// Counts a send by what is expected of the chosen endpoint.
-    pub(crate) fn placed(&self, outlook: PlacementOutlook) {
-        let counter = self.client.count_with_tags("placements", 1);
-        let _ = counter.with_tag("outlook", outlook.name()).try_send();
-    }
-
     /// Counts a request that an endpoint rejected.
     pub(crate) fn rejected(&self) {
         let _ = self.client.count("endpoint_rejections", 1);
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -2,11 +2,7 @@
 //!
 //! What is known of the endpoints is passed in; [`LoadBalancer`](crate::LoadBalancer) keeps it.
 
-use std::{
-    collections::HashSet,
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::{collections::HashSet, net::SocketAddr, time::Duration};
 
 use {
     jasminewall_core::{EndpointId, Tokens},
@@ -34,14 +30,6 @@
 const WAITING_COST_MS: f64 = 60.0;
 /// Number of endpoints up to which a decision compares all of them.
 pub(crate) const COMPARE_ALL_MAX: usize = 32;
-/// Part of the target latency that a response which counts as in time is expected to leave: for the
-/// network, for the first event after the prompt was read, and for requests of routers whose loads
-/// are not known.
-const TARGET_MARGIN: f64 = 0.1;
-/// Weight of a measured rate that is higher or lower than the known one: half of the way to a higher
-/// one, so that a router knows the rate after a few prompts; it places three long ones a second.
-const RATE_WEIGHT_UP: f64 = 0.5;
-const RATE_WEIGHT_DOWN: f64 = 0.05;
 /// Number of random endpoints among those that a decision compares in a larger fleet.
 const RANDOM_CANDIDATES: usize = 16;
 /// Number of engines compared because they may cache the shared parts of a prompt: the first by
@@ -51,7 +39,7 @@
 const CONNECTED_CANDIDATES: usize = 12;
 
 /// Requirements of a request on its endpoint.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct PlacementQuery<'a> {
     /// Prompt, if the endpoint is a model engine.
     pub prompt: Option<&'a PromptSpec>,
@@ -61,17 +49,6 @@
     pub excluded: &'a [EndpointId],
     /// Addresses to which an idle connection is open; `None` if they are not preferred.
     pub connected: Option<&'a HashSet<SocketAddr>>,
-    /// When the response should begin; `None` to choose by cost alone.
-    pub target: Option<LatencyTarget>,
-}
-
-/// When the response to a request should begin.
-#[derive(Clone, Copy, Debug)]
-pub struct LatencyTarget {
-    /// Intended time from the arrival of a request to its response, or to its first event.
-    pub latency: Duration,
-    /// End of this time for the request.
-    pub start_by: Instant,
 }
 
 /// Chosen endpoint, with the values that the choice is logged with.
@@ -87,8 +64,6 @@
     pub runner_up: Option<(EndpointId, f64)>,
     /// Prompt tokens that the endpoint has probably not cached.
     pub uncached: Tokens,
-    /// Whether the response is expected in time.
-    pub outlook: PlacementOutlook,
     /// Age of the endpoint's last load report.
     pub report_age: Option<Duration>,
 }
@@ -104,32 +79,6 @@
     pub(crate) is_long: bool,
 }
 
-/// Prompt tokens that the engines read per ms, from the times to the first events of long prompts.
-///
-/// Prompts of other routers, of which this one may not know, and slow engines only lengthen these
-/// times, so that a higher rate counts more than a lower one.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct PrefillRate(f64);
-
-impl PrefillRate {
-    pub(crate) fn new(initial: f64) -> Self {
-        Self(initial)
-    }
-
-    pub(crate) fn get(self) -> f64 {
-        self.0
-    }
-
-    pub(crate) fn observe(&mut self, rate: f64) {
-        let weight = if rate > self.0 {
-            RATE_WEIGHT_UP
-        } else {
-            RATE_WEIGHT_DOWN
-        };
-        self.0 += (rate - self.0) * weight;
-    }
-}
-
 /// What is known of an engine when a request is placed.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct EngineOutlook {
@@ -147,25 +96,14 @@
     pub(crate) slowdown: f64,
 }
 
-/// What is expected of a prompt at an engine.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct EngineCost {
-    /// Cost in ms.
-    pub(crate) cost_ms: f64,
-    /// Time in ms until the engine has read the prompt.
-    pub(crate) start_ms: f64,
-    /// Prompt tokens that the engine has probably not cached.
-    pub(crate) uncached: Tokens,
-}
-
 impl EngineOutlook {
-    /// What is expected of a prompt.
+    /// Expected cost of a prompt in ms, and its tokens that the engine has probably not cached.
     pub(crate) fn cost(
         &self,
         prompt: &PromptSpec,
         chain: &[(u64, Tokens)],
         fit: EngineFit,
-    ) -> EngineCost {
+    ) -> (f64, Tokens) {
         let shared = shared_tokens(chain);
         let assumed = if fit.is_home { shared } else { 0 };
         let cached_tokens = self.cached_tokens.max(assumed);
@@ -179,12 +117,8 @@
             (false, true) => RESERVED_COST_MS,
             _ => 0.0,
         };
-        let start_ms = (read_ms + wait_ms + load_ms) * self.slowdown;
-        EngineCost {
-            cost_ms: start_ms + reread + misplaced,
-            start_ms,
-            uncached,
-        }
+        let cost = (read_ms + wait_ms + load_ms) * self.slowdown + reread + misplaced;
+        (cost, uncached)
     }
 }
 
@@ -194,88 +128,13 @@
     pub(crate) record: &'a EndpointRecord,
     /// Expected cost in ms.
     pub(crate) cost_ms: f64,
-    /// Expected time to the beginning of the response in ms; 0 if it does not matter.
-    pub(crate) start_ms: f64,
     /// Prompt tokens that the endpoint has probably not cached.
     pub(crate) uncached: Tokens,
 }
 
-impl LatencyTarget {
-    /// Longest expected time in ms, of a request that is sent now, with which it counts as in time.
-    fn budget_ms(&self, now: Instant) -> f64 {
-        let remaining = self.start_by.saturating_duration_since(now);
-        remaining.as_secs_f64() * 1e3 - self.latency.as_secs_f64() * 1e3 * TARGET_MARGIN
-    }
-}
-
-/// What is expected of the chosen endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PlacementOutlook {
-    /// The cheapest endpoint was chosen; no time was asked for.
-    ByCost,
-    /// The response begins in time.
-    InTime,
-    /// The response begins late, and would at each compared endpoint at the moment.
-    Late,
-}
-
-impl PlacementOutlook {
-    /// Name for logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::ByCost => "by_cost",
-            Self::InTime => "in_time",
-            Self::Late => "late",
-        }
-    }
-}
-
-/// Which endpoint of a decision is best.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum RankRule {
-    /// The cheapest.
-    Cost,
-    /// The cheapest of those that are expected to begin the response within this time in ms; if
-    /// there is none, the earliest.
-    InTime(f64),
-}
-
-impl RankRule {
-    pub(crate) fn new(query: PlacementQuery<'_>, now: Instant) -> Self {
-        let (Some(_), Some(target)) = (query.prompt, query.target) else {
-            return Self::Cost;
-        };
-        Self::InTime(target.budget_ms(now))
-    }
-
-    fn is_late(self, candidate: &Candidate<'_>) -> bool {
-        matches!(self, Self::InTime(budget_ms) if candidate.start_ms > budget_ms)
-    }
-
-    /// Sorts the endpoints of a decision, best first.
-    pub(crate) fn sort(self, candidates: &mut [Candidate<'_>]) {
-        let rank = |candidate: &Candidate<'_>| {
-            let is_late = self.is_late(candidate);
-            let value = if is_late {
-                candidate.start_ms
-            } else {
-                candidate.cost_ms
-            };
-            (is_late, value)
-        };
-        candidates.sort_by(|left, right| {
-            let (left, right) = (rank(left), rank(right));
-            left.0.cmp(&right.0).then(left.1.total_cmp(&right.1))
-        });
-    }
-
-    pub(crate) fn outlook(self, chosen: &Candidate<'_>) -> PlacementOutlook {
-        match self {
-            Self::Cost => PlacementOutlook::ByCost,
-            Self::InTime(_) if self.is_late(chosen) => PlacementOutlook::Late,
-            Self::InTime(_) => PlacementOutlook::InTime,
-        }
-    }
+/// Sorts the endpoints of a decision, best first.
+pub(crate) fn rank_candidates(candidates: &mut [Candidate<'_>]) {
+    candidates.sort_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms));
 }
 
 /// Hashes of all prefixes of a prompt, each with its length in tokens.
--- a/crates/forward/tests/allowance.rs
+++ b/crates/forward/tests/allowance.rs
@@ -37,7 +37,7 @@
         prompt: None,
         max_gap: None,
         excluded: &[],
-        ..PlacementQuery::default()
+        connected: None,
     }
 }
 
--- a/crates/forward/tests/choice.rs
+++ b/crates/forward/tests/choice.rs
@@ -55,7 +55,7 @@
         prompt: Some(prompt),
         max_gap: Some(Duration::from_millis(500)),
         excluded: &[],
-        ..PlacementQuery::default()
+        connected: None,
     }
 }
 
@@ -146,7 +146,7 @@
         prompt: None,
         max_gap: None,
         excluded: &[],
-        ..PlacementQuery::default()
+        connected: None,
     };
     let mut balancer = LoadBalancer::new("a".into());
     let mut rng = StdRng::seed_from_u64(3);
@@ -200,7 +200,7 @@
         prompt: None,
         max_gap: None,
         excluded,
-        ..PlacementQuery::default()
+        connected: None,
     };
     let mut rng = StdRng::seed_from_u64(5);
     let one = balancer.choose(&records, query(&excluded[..1]), Instant::now(), &mut rng);
--- a/crates/forward/tests/warmup.rs
+++ b/crates/forward/tests/warmup.rs
@@ -105,8 +105,6 @@
         max_gap: None,
         excluded: &[],
         connected: None,
-        target: None,
-        memory: None,
     };
     let mut arrivals: Vec<Vec<Instant>> = vec![Vec::new(); ENDPOINTS];
     for step in 0..300 {
