Count what running requests hold as consumed when a budget is proven spent

Change: only free tokens, those of other accounts and draws on their way count. The tests of budget, supply, log, charge, takeover and reattach pass.

--- a/crates/forward/src/budget.rs
+++ b/crates/forward/src/budget.rs
@@ -87,7 +87,7 @@
     /// Free tokens in the pool.
     pub(crate) free: Tokens,
     /// All tokens that may still become available to a request here: those in the pool, of other
-    /// routers, and of this one including those that requests hold.
+    /// routers, and of this one except those that requests hold.
     pub(crate) reachable: Tokens,
 }
 
--- a/crates/forward/src/manager.rs
+++ b/crates/forward/src/manager.rs
@@ -702,12 +702,9 @@
         // Only a fresh read of all accounts can prove that the budget is spent.
         self.read_accounts(budget, &mut account).await?;
         let prepaid = budget.state().prepaid;
-        let own = {
-            let ledger = self.ledger();
-            // Requests may not use all that they hold.
-            ledger.spendable(&budget.customer) + ledger.held(&budget.customer)
-        };
-        let own = own + account.unconfirmed() + account.pending_return();
+        // What running requests hold counts as consumed: they may use all of it.
+        let own =
+            self.spendable(&budget.customer) + account.unconfirmed() + account.pending_return();
         let pool = ExhaustedPool {
             until: Instant::now() + EXHAUSTED_PAUSE,
             free: account.free(prepaid),
