--- a/crates/forward/src/snapshot.rs
+++ b/crates/forward/src/snapshot.rs
@@ -295,11 +295,11 @@
     let page = rows.read(SNAPSHOT_TABLE, TIME_PARTITION).await?;
     let row = page.rows.into_iter().next();
     let written_ms = row.as_ref().and_then(written_ms);
-    let patience = REFRESH_INTERVAL * (1 + u32::try_from(rank).unwrap_or(u32::MAX - 1));
+    let max_age = REFRESH_INTERVAL * (1 + u32::try_from(rank).unwrap_or(u32::MAX - 1));
     // A time in the future was written before the store was restored.
     let is_fresh = written_ms.is_some_and(|at| {
         let age = page.now_ms.checked_sub(at).map(Duration::from_millis);
-        age.is_some_and(|age| age < patience)
+        age.is_some_and(|age| age < max_age)
     });
     if is_fresh {
         return Ok(None);
