--- /dev/null
+++ b/review/stand-2/main.rs
@@ -0,0 +1,74 @@
+//! Stand-ins and cases of the second review: `stand CASE FOLDER` plays a case, writes `record.txt` into
+//! the folder and exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
+//! With `TROUBLE=0` in the environment it plays the case without its disruption.
+
+#![allow(dead_code)]
+
+mod fleet;
+mod http;
+mod json;
+mod slow_reader;
+mod store;
+mod truncated_error;
+mod worker;
+
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
+
+use fleet::Record;
+
+/// Result of a case.
+pub enum Verdict {
+    Held,
+    Broken,
+}
+
+/// What a case needs.
+pub struct Setup {
+    /// Root of the repository.
+    pub root: PathBuf,
+    pub record: Record,
+    /// Whether the disruption is played.
+    pub has_trouble: bool,
+}
+
+fn run(case: &str, folder: &Path) -> Result<Verdict, String> {
+    let root = std::env::current_dir().map_err(|error| error.to_string())?;
+    let record = Record::create(folder).map_err(|error| error.to_string())?;
+    let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let setup = Setup {
+        root,
+        record,
+        has_trouble,
+    };
+    setup.record.tell(&format!("case {case}, trouble: {has_trouble}"));
+    let outcome = match case {
+        "slow-reader" => slow_reader::play(&setup),
+        "truncated-error" => truncated_error::play(&setup),
+        _ => Err(format!("there is no case '{case}'")),
+    };
+    match &outcome {
+        Ok(Verdict::Held) => setup.record.tell("the rule held"),
+        Ok(Verdict::Broken) => setup.record.tell("the rule was broken"),
+        Err(error) => setup.record.tell(&format!("the case could not run: {error}")),
+    }
+    outcome
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, folder] = arguments.as_slice() else {
+        eprintln!("usage: stand CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    match run(case, Path::new(folder)) {
+        Ok(Verdict::Held) => ExitCode::SUCCESS,
+        Ok(Verdict::Broken) => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(2)
+        }
+    }
+}
