--- a/review/stand-2/fleet.rs
+++ b/review/stand-2/fleet.rs
@@ -15,6 +15,8 @@
 
 const FRONT_PORT: u16 = 8227;
 const READINESS_PORT: u16 = 8220;
+/// Memory of a machine of the small deployment, in MB.
+pub const MEMORY_MB: u64 = 260;
 const PEER_PORT: u16 = 7340;
 pub const STORE_PORT: u16 = 8223;
 const ZONES: [&str; 3] = ["gulberg", "model-town", "johar-town"];
@@ -149,7 +151,14 @@
 }
 
 /// Fills in the template of the settings as the platform does.
-fn settings_text(template: &str, network: Network, machine: u8, name: &str, zone: &str) -> String {
+fn settings_text(
+    template: &str,
+    network: Network,
+    machine: u8,
+    name: &str,
+    zone: &str,
+    memory_mb: u64,
+) -> String {
     let ip = network.address(machine, 0).ip().to_string();
     let address = |port| network.address(machine, port).to_string();
     let values = [
@@ -160,7 +169,7 @@
         ("Ip", ip),
         ("InternalPorts.0", PEER_PORT.to_string()),
         ("Limits.LinkMbps", "1000.0".to_owned()),
-        ("Limits.MemoryMb", "260".to_owned()),
+        ("Limits.MemoryMb", memory_mb.to_string()),
         ("Platform.Address", network.address(1, STORE_PORT).to_string()),
         ("Bounds.GraceS", "8".to_owned()),
         ("Bounds.DrainMs", "2000".to_owned()),
@@ -217,6 +226,7 @@
     folder: &Folder,
     network: Network,
     count: u8,
+    memory_mb: u64,
 ) -> io::Result<Vec<Router>> {
     let template = fs::read_to_string(root.join("deploy/router.ini"))?;
     let mut routers = Vec::new();
@@ -225,7 +235,7 @@
         let name = format!("edge-{zone}-{}", index / 3 + 1);
         let machine = 11 + index;
         let settings = folder.0.join(format!("{name}.ini"));
-        fs::write(&settings, settings_text(&template, network, machine, &name, zone))?;
+        fs::write(&settings, settings_text(&template, network, machine, &name, zone, memory_mb))?;
         routers.push(Router {
             name,
             front: network.address(machine, FRONT_PORT),
--- a/review/stand-2/http.rs
+++ b/review/stand-2/http.rs
@@ -1,9 +1,13 @@
 //! HTTP/1.1 over blocking sockets, for servers and clients.
 
 use std::{
+    collections::HashMap,
     io::{self, BufRead, BufReader, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
-    sync::Arc,
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -139,20 +143,59 @@
     String::from_utf8_lossy(&bytes).into_owned()
 }
 
+/// Running server.
+pub struct Server {
+    address: SocketAddr,
+    is_stopped: AtomicBool,
+    /// Open connections by number.
+    streams: Mutex<HashMap<u64, TcpStream>>,
+}
+
+impl Server {
+    /// Closes the port and all connections, as when the process of the server is killed.
+    pub fn crash(&self) {
+        self.is_stopped.store(true, Ordering::SeqCst);
+        // Ends the wait for a connection, after which the port is closed.
+        let _ = TcpStream::connect(self.address);
+        for (_, stream) in self.streams.lock().unwrap().drain() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    pub fn is_stopped(&self) -> bool {
+        self.is_stopped.load(Ordering::SeqCst)
+    }
+}
+
 /// Serves connections, each in a thread of its own. `handler` writes the response and returns whether
 /// the connection stays open.
-pub fn serve<F>(listener: TcpListener, handler: F)
+pub fn serve<F>(listener: TcpListener, handler: F) -> io::Result<Arc<Server>>
 where
     F: Fn(&Request, &mut TcpStream) -> io::Result<bool> + Send + Sync + 'static,
 {
     let handler = Arc::new(handler);
+    let server = Arc::new(Server {
+        address: listener.local_addr()?,
+        is_stopped: AtomicBool::new(false),
+        streams: Mutex::default(),
+    });
+    let accepting = server.clone();
     thread::spawn(move || {
-        for stream in listener.incoming() {
+        for (number, stream) in (0..).zip(listener.incoming()) {
+            if accepting.is_stopped() {
+                return;
+            }
             let Ok(stream) = stream else { continue };
-            let handler = handler.clone();
-            thread::spawn(move || serve_connection(stream, &*handler));
+            let Ok(copy) = stream.try_clone() else { continue };
+            accepting.streams.lock().unwrap().insert(number, copy);
+            let (handler, server) = (handler.clone(), accepting.clone());
+            thread::spawn(move || {
+                serve_connection(stream, &*handler);
+                server.streams.lock().unwrap().remove(&number);
+            });
         }
     });
+    Ok(server)
 }
 
 fn serve_connection(
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -5,9 +5,12 @@
 #![allow(dead_code)]
 
 mod fleet;
+mod hostile_crowd;
 mod http;
 mod json;
-mod slow_reader;
+mod other_writer;
+mod same_id;
+mod slow_caller;
 mod store;
 mod truncated_error;
 mod worker;
@@ -45,7 +48,10 @@
     };
     setup.record.tell(&format!("case {case}, trouble: {has_trouble}"));
     let outcome = match case {
-        "slow-reader" => slow_reader::play(&setup),
+        "other-writer" => other_writer::play(&setup),
+        "same-id" => same_id::play(&setup),
+        "hostile-crowd" => hostile_crowd::play(&setup),
+        "slow-caller" => slow_caller::play(&setup),
         "truncated-error" => truncated_error::play(&setup),
         _ => Err(format!("there is no case '{case}'")),
     };
--- a/review/stand-2/store.rs
+++ b/review/stand-2/store.rs
@@ -68,7 +68,7 @@
             is_busy: AtomicBool::new(false),
         });
         let served = store.clone();
-        http::serve(listener, move |request, stream| served.handle(request, stream));
+        http::serve(listener, move |request, stream| served.handle(request, stream))?;
         Ok(store)
     }
 
--- a/review/stand-2/worker.rs
+++ b/review/stand-2/worker.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     fleet::unix_ms,
-    http::{self, Request},
+    http::{self, Request, Server},
     json::Json,
     store::Store,
 };
@@ -112,13 +112,24 @@
     seal: &str,
     stream: &mut TcpStream,
     text: impl Fn(u64) -> String,
+) -> io::Result<bool> {
+    write_slow_stream(request, seal, stream, EVENT_TIME, text)
+}
+
+/// Like [`write_stream`], with a time between two events.
+pub fn write_slow_stream(
+    request: &Request,
+    seal: &str,
+    stream: &mut TcpStream,
+    event_time: Duration,
+    text: impl Fn(u64) -> String,
 ) -> io::Result<bool> {
     let events = output_tokens(request).div_ceil(STRIDE);
     let last = request.head.get("last-event-id");
     let last: u64 = last.and_then(|id| id.parse().ok()).unwrap_or(0);
     begin_stream(request, seal, stream)?;
     for number in last + 1..=events {
-        thread::sleep(EVENT_TIME);
+        thread::sleep(event_time);
         let event = format!("id: {number}\ndata: {}\n\n", text(number));
         write_chunk(stream, event.as_bytes())?;
     }
@@ -127,7 +138,7 @@
 }
 
 /// Starts a worker whose requests `run` answers.
-pub fn start<F>(registration: &Registration, run: F) -> io::Result<()>
+pub fn start<F>(registration: &Registration, run: F) -> io::Result<Arc<Server>>
 where
     F: Fn(&Request, &mut TcpStream) -> io::Result<bool> + Send + Sync + 'static,
 {
@@ -139,8 +150,7 @@
             Some(answer) => answer,
             None => run(request, stream),
         }
-    });
-    Ok(())
+    })
 }
 
 /// Configuration with a route of each kind: streams that may be resumed (`/stitch/`), requests that
