--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -9,8 +9,8 @@
 mod http;
 mod json;
 mod other_writer;
+mod paused_streams;
 mod same_id;
-mod slow_caller;
 mod store;
 mod truncated_error;
 mod worker;
@@ -49,9 +49,9 @@
     setup.record.tell(&format!("case {case}, trouble: {has_trouble}"));
     let outcome = match case {
         "other-writer" => other_writer::play(&setup),
+        "paused-streams" => paused_streams::play(&setup),
         "same-id" => same_id::play(&setup),
         "hostile-crowd" => hostile_crowd::play(&setup),
-        "slow-caller" => slow_caller::play(&setup),
         "truncated-error" => truncated_error::play(&setup),
         _ => Err(format!("there is no case '{case}'")),
     };
