Give each request of the review's stand-ins a body of its own

A request with the path, caller and body of another counts as a repeat of it when workers crash, so equal bodies would have let a crash block sound requests.

--- a/review/stand-2/worker.rs
+++ b/review/stand-2/worker.rs
@@ -242,7 +242,8 @@
         ("Authorization", bearer.as_str()),
     ];
     headers.extend_from_slice(extra);
-    http::format_request("POST", "/stitch/2f", &headers, b"a prompt")
+    let body = format!("the prompt of {attempt}");
+    http::format_request("POST", "/stitch/2f", &headers, body.as_bytes())
 }
 
 /// Request for a plain service.
