--- a/review/stand-2/fleet.rs
+++ b/review/stand-2/fleet.rs
@@ -170,7 +170,10 @@
         ("InternalPorts.0", PEER_PORT.to_string()),
         ("Limits.LinkMbps", "1000.0".to_owned()),
         ("Limits.MemoryMb", memory_mb.to_string()),
-        ("Platform.Address", network.address(1, STORE_PORT).to_string()),
+        (
+            "Platform.Address",
+            network.address(1, STORE_PORT).to_string(),
+        ),
         ("Bounds.GraceS", "8".to_owned()),
         ("Bounds.DrainMs", "2000".to_owned()),
         ("Bounds.RetryBudgetRatio", "0.2".to_owned()),
@@ -182,7 +185,9 @@
     while let Some((before, section)) = rest.split_once("{{#") {
         text += before;
         let (key, section) = section.split_once("}}").unwrap_or((section, ""));
-        let (body, after) = section.split_once(&format!("{{{{/{key}}}}}")).unwrap_or((section, ""));
+        let (body, after) = section
+            .split_once(&format!("{{{{/{key}}}}}"))
+            .unwrap_or((section, ""));
         // The deployment has the zones; the bounds of cold workers have no value here.
         if key == "Zones" {
             for zone in ZONES {
@@ -235,7 +240,10 @@
         let name = format!("edge-{zone}-{}", index / 3 + 1);
         let machine = 11 + index;
         let settings = folder.0.join(format!("{name}.ini"));
-        fs::write(&settings, settings_text(&template, network, machine, &name, zone, memory_mb))?;
+        fs::write(
+            &settings,
+            settings_text(&template, network, machine, &name, zone, memory_mb),
+        )?;
         routers.push(Router {
             name,
             front: network.address(machine, FRONT_PORT),
--- a/review/stand-2/hostile_crowd.rs
+++ b/review/stand-2/hostile_crowd.rs
@@ -50,7 +50,13 @@
     Tiny,
 }
 
-const BODIES: [Body; 5] = [Body::Chunked, Body::Whole, Body::Large, Body::Tiny, Body::Short];
+const BODIES: [Body; 5] = [
+    Body::Chunked,
+    Body::Whole,
+    Body::Large,
+    Body::Tiny,
+    Body::Short,
+];
 
 fn send(stream: &mut TcpStream, attempt: &str, body: Body) -> io::Result<()> {
     let head = |length: &str| {
@@ -90,19 +96,20 @@
     while !is_over.load(Ordering::SeqCst) {
         number += 1;
         let attempt = format!("h{caller}x{number}");
-        let sent = TcpStream::connect_timeout(&front, Duration::from_secs(2)).and_then(|mut stream| {
-            stream.set_write_timeout(Some(Duration::from_secs(8)))?;
-            stream.set_read_timeout(Some(Duration::from_millis(500)))?;
-            send(&mut stream, &attempt, BODIES[caller % BODIES.len()])?;
-            let mut answer = [0; 256];
-            while !is_over.load(Ordering::SeqCst) {
-                match stream.read(&mut answer) {
-                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                    _ => break,
+        let sent =
+            TcpStream::connect_timeout(&front, Duration::from_secs(2)).and_then(|mut stream| {
+                stream.set_write_timeout(Some(Duration::from_secs(8)))?;
+                stream.set_read_timeout(Some(Duration::from_millis(500)))?;
+                send(&mut stream, &attempt, BODIES[caller % BODIES.len()])?;
+                let mut answer = [0; 256];
+                while !is_over.load(Ordering::SeqCst) {
+                    match stream.read(&mut answer) {
+                        Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                        _ => break,
+                    }
                 }
-            }
-            Ok(())
-        });
+                Ok(())
+            });
         if sent.is_err() {
             thread::sleep(Duration::from_millis(50));
         }
@@ -112,7 +119,9 @@
 /// Bytes that callers have sent to `front` and that the process has not read yet, in kB.
 fn unread_kb(front: SocketAddr) -> u64 {
     const ESTABLISHED: &str = "01";
-    let SocketAddr::V4(front) = front else { return 0 };
+    let SocketAddr::V4(front) = front else {
+        return 0;
+    };
     let ip = u32::from_ne_bytes(front.ip().octets());
     let local = format!("{ip:08X}:{:04X}", front.port());
     let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
@@ -157,12 +166,17 @@
                 break;
             }
             let answer = http::read_answer(&mut reader);
-            setup.record.add(&format!("order {attempt}: status {}", answer.status));
+            setup
+                .record
+                .add(&format!("order {attempt}: status {}", answer.status));
             if answer.status == 0 {
                 lost.lock().unwrap().push(attempt);
                 break;
             }
-            let closes = answer.head.get("connection").is_some_and(|value| value == "close");
+            let closes = answer
+                .head
+                .get("connection")
+                .is_some_and(|value| value == "close");
             if closes || !answer.is_complete {
                 break;
             }
@@ -194,7 +208,8 @@
         .map_err(text)?;
         registration.register(&store);
     }
-    let mut routers = fleet::start_routers(&setup.root, &folder, network, 1, MEMORY_MB).map_err(text)?;
+    let mut routers =
+        fleet::start_routers(&setup.root, &folder, network, 1, MEMORY_MB).map_err(text)?;
     if !fleet::wait_ready(&routers, Duration::from_secs(15)) {
         return Err("the router is not ready".to_owned());
     }
@@ -229,9 +244,13 @@
             }
             if total > MEMORY_KB {
                 kills += 1;
-                setup.record.tell(&format!("the router has {total} kB and is killed"));
+                setup
+                    .record
+                    .tell(&format!("the router has {total} kB and is killed"));
                 if let Err(error) = routers[0].restart() {
-                    setup.record.tell(&format!("it could not start again: {error}"));
+                    setup
+                        .record
+                        .tell(&format!("it could not start again: {error}"));
                     break;
                 }
             }
@@ -248,5 +267,9 @@
         "the router had {peak} kB at most, its machine has {MEMORY_KB} kB; it was killed {kills} times; \
          {lost} orders that a worker had got ended without an answer, {ALLOWED} are allowed"
     ));
-    Ok(if lost > ALLOWED { Verdict::Broken } else { Verdict::Held })
+    Ok(if lost > ALLOWED {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
--- a/review/stand-2/http.rs
+++ b/review/stand-2/http.rs
@@ -186,7 +186,9 @@
                 return;
             }
             let Ok(stream) = stream else { continue };
-            let Ok(copy) = stream.try_clone() else { continue };
+            let Ok(copy) = stream.try_clone() else {
+                continue;
+            };
             accepting.streams.lock().unwrap().insert(number, copy);
             let (handler, server) = (handler.clone(), accepting.clone());
             thread::spawn(move || {
@@ -225,7 +227,10 @@
     headers: &[(&str, &str)],
     body: &[u8],
 ) -> io::Result<bool> {
-    let mut text = format!("HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n", body.len());
+    let mut text = format!(
+        "HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         text += &format!("{name}: {value}\r\n");
     }
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -46,7 +46,9 @@
         record,
         has_trouble,
     };
-    setup.record.tell(&format!("case {case}, trouble: {has_trouble}"));
+    setup
+        .record
+        .tell(&format!("case {case}, trouble: {has_trouble}"));
     let outcome = match case {
         "other-writer" => other_writer::play(&setup),
         "paused-streams" => paused_streams::play(&setup),
@@ -58,7 +60,9 @@
     match &outcome {
         Ok(Verdict::Held) => setup.record.tell("the rule held"),
         Ok(Verdict::Broken) => setup.record.tell("the rule was broken"),
-        Err(error) => setup.record.tell(&format!("the case could not run: {error}")),
+        Err(error) => setup
+            .record
+            .tell(&format!("the case could not run: {error}")),
     }
     outcome
 }
--- a/review/stand-2/other_writer.rs
+++ b/review/stand-2/other_writer.rs
@@ -35,7 +35,12 @@
     for index in 0..3 {
         let zone = ["gulberg", "model-town", "johar-town"][usize::from(index)];
         let id = format!("i-model-{index}");
-        let model = Registration::new(&id, "appraiser-model", network.address(100 + index, 8080), zone);
+        let model = Registration::new(
+            &id,
+            "appraiser-model",
+            network.address(100 + index, 8080),
+            zone,
+        );
         worker::start(&model, |request, stream| {
             worker::write_stream(request, "seal", stream, |number| format!("piece {number}"))
         })
@@ -56,7 +61,8 @@
         plain.register(&store);
         registry.push(plain);
     }
-    let routers = fleet::start_routers(&setup.root, &folder, network, 3, fleet::MEMORY_MB).map_err(text)?;
+    let routers =
+        fleet::start_routers(&setup.root, &folder, network, 3, fleet::MEMORY_MB).map_err(text)?;
     if !fleet::wait_ready(&routers, Duration::from_secs(15)) {
         return Err("the routers are not ready".to_owned());
     }
@@ -75,7 +81,9 @@
                     let answer = http::fetch(front, &request, Duration::from_secs(14));
                     record.add(&format!(
                         "attempt {attempt}: status {}, {} bytes, {:?}",
-                        answer.status, answer.body.len(), answer.text().chars().take(20).collect::<String>()
+                        answer.status,
+                        answer.body.len(),
+                        answer.text().chars().take(20).collect::<String>()
                     ));
                 }
             });
@@ -88,22 +96,33 @@
                 ("Address", Json::text(worker.address.to_string())),
                 ("State", Json::text("ready")),
             ]);
-            setup.record.add(&format!("another writer writes servers/{}: {entry}", worker.id));
+            setup.record.add(&format!(
+                "another writer writes servers/{}: {entry}",
+                worker.id
+            ));
             store.put("servers", &worker.id, Some(&entry));
             thread::sleep(HEARTBEAT);
             worker.register(&store);
-            setup.record.add(&format!("{} writes its registration again", worker.id));
+            setup
+                .record
+                .add(&format!("{} writes its registration again", worker.id));
         }
         thread::sleep(Duration::from_secs(2));
         is_over.store(true, Ordering::SeqCst);
     });
     let strayed = strayed.lock().unwrap();
     for request in strayed.iter() {
-        setup.record.add(&format!("request for appraiser-model run by the registry: {request}"));
+        setup.record.add(&format!(
+            "request for appraiser-model run by the registry: {request}"
+        ));
     }
     setup.record.tell(&format!(
         "{} requests for appraiser-model were run by a worker of the registry",
         strayed.len()
     ));
-    Ok(if strayed.is_empty() { Verdict::Held } else { Verdict::Broken })
+    Ok(if strayed.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    })
 }
--- a/review/stand-2/store.rs
+++ b/review/stand-2/store.rs
@@ -68,7 +68,9 @@
             is_busy: AtomicBool::new(false),
         });
         let served = store.clone();
-        http::serve(listener, move |request, stream| served.handle(request, stream))?;
+        http::serve(listener, move |request, stream| {
+            served.handle(request, stream)
+        })?;
         Ok(store)
     }
 
@@ -77,7 +79,10 @@
         let mut state = self.state.lock().unwrap();
         state.version += 1;
         let name = (table.to_owned(), String::new(), key.to_owned());
-        state.set(name, value.map(|value| encode(value.to_string().as_bytes())));
+        state.set(
+            name,
+            value.map(|value| encode(value.to_string().as_bytes())),
+        );
         self.changed.notify_all();
     }
 
@@ -104,13 +109,12 @@
         let body = Json::parse(std::str::from_utf8(&request.body).ok()?)?;
         thread::sleep(TRANSACTION_TIME);
         let mut state = self.state.lock().unwrap();
-        let version_of = |state: &State, name: &RowName| {
-            state.rows.get(name).map_or(0, |(version, _)| *version)
-        };
+        let version_of =
+            |state: &State, name: &RowName| state.rows.get(name).map_or(0, |(version, _)| *version);
         let expected = body.get("Expect").items();
-        let holds = expected.iter().all(|row| {
-            version_of(&state, &name_of(row)) == row.get("SchemaVersion").as_u64()
-        });
+        let holds = expected
+            .iter()
+            .all(|row| version_of(&state, &name_of(row)) == row.get("SchemaVersion").as_u64());
         if !holds {
             let rows = expected.iter().filter_map(|row| {
                 let name = name_of(row);
@@ -178,7 +182,8 @@
                 let mut rows: Vec<_> = latest.into_iter().collect();
                 rows.sort_by_key(|(_, (version, _))| *version);
                 let rows = rows.iter();
-                let rows = rows.map(|(name, (version, data))| row_json(name, *version, data.as_ref()));
+                let rows =
+                    rows.map(|(name, (version, data))| row_json(name, *version, data.as_ref()));
                 let rows = rows.collect();
                 return Some((200, self.page(&state, rows)));
             }
--- a/review/stand-2/truncated_error.rs
+++ b/review/stand-2/truncated_error.rs
@@ -70,7 +70,8 @@
         .map_err(text)?;
         registration.register(&store);
     }
-    let routers = fleet::start_routers(&setup.root, &folder, network, 3, fleet::MEMORY_MB).map_err(text)?;
+    let routers =
+        fleet::start_routers(&setup.root, &folder, network, 3, fleet::MEMORY_MB).map_err(text)?;
     if !fleet::wait_ready(&routers, Duration::from_secs(15)) {
         return Err("the routers are not ready".to_owned());
     }
--- a/review/stand-2/worker.rs
+++ b/review/stand-2/worker.rs
@@ -175,7 +175,11 @@
             fields.push(("TargetGapMs", Json::number(300)));
         }
         let fields = fields.into_iter();
-        Json::Object(fields.map(|(name, value)| (name.to_owned(), value)).collect())
+        Json::Object(
+            fields
+                .map(|(name, value)| (name.to_owned(), value))
+                .collect(),
+        )
     };
     let routes = vec![
         route("stitch", "streaming", "appraiser-model", 2, 12_000, 400),
@@ -222,14 +226,11 @@
 pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
 
 /// Request for a stream.
-pub fn stream_request(
-    attempt: &str,
-    input: u64,
-    output: u64,
-    extra: &[(&str, &str)],
-) -> Vec<u8> {
+pub fn stream_request(attempt: &str, input: u64, output: u64, extra: &[(&str, &str)]) -> Vec<u8> {
     let counts = format!("{input},{output}");
-    let own: u64 = attempt.bytes().fold(7, |hash, byte| hash * 31 % 1_000_003 + u64::from(byte));
+    let own: u64 = attempt
+        .bytes()
+        .fold(7, |hash, byte| hash * 31 % 1_000_003 + u64::from(byte));
     let prefix = format!("{own:x}:{input}");
     let bearer = format!("Bearer {KEY}");
     let mut headers = vec![
