--- a/review/stand-2/fleet.rs
+++ b/review/stand-2/fleet.rs
@@ -60,15 +60,15 @@
     now.map_or(0, |now| now.as_millis() as u64)
 }
 
-/// Protocol of a run, in `record.txt` and on standard output.
+/// Record of a run: what was sent, answered and run.
 pub struct Record {
     file: Mutex<fs::File>,
     started: Instant,
 }
 
 impl Record {
-    pub fn create(folder: &Path) -> io::Result<Self> {
-        let file = fs::File::create(folder.join("record.txt"))?;
+    pub fn create(path: &Path) -> io::Result<Self> {
+        let file = fs::File::create(path)?;
         Ok(Self {
             file: Mutex::new(file),
             started: Instant::now(),
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -1,5 +1,5 @@
-//! Stand-ins and cases of the second review: `stand CASE FOLDER` plays a case, writes `record.txt` into
-//! the folder and exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
+//! Stand-ins and cases of the second review: `stand CASE RECORD` plays a case, writes its record to
+//! that file and exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 //! With `TROUBLE=0` in the environment it plays the case without its disruption.
 
 #![allow(dead_code)]
@@ -37,9 +37,9 @@
     pub has_trouble: bool,
 }
 
-fn run(case: &str, folder: &Path) -> Result<Verdict, String> {
+fn run(case: &str, path: &Path) -> Result<Verdict, String> {
     let root = std::env::current_dir().map_err(|error| error.to_string())?;
-    let record = Record::create(folder).map_err(|error| error.to_string())?;
+    let record = Record::create(path).map_err(|error| error.to_string())?;
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let setup = Setup {
         root,
@@ -69,11 +69,11 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = arguments.as_slice() else {
-        eprintln!("usage: stand CASE FOLDER");
+    let [_, case, path] = arguments.as_slice() else {
+        eprintln!("usage: stand CASE RECORD");
         return ExitCode::from(2);
     };
-    match run(case, Path::new(folder)) {
+    match run(case, Path::new(path)) {
         Ok(Verdict::Held) => ExitCode::SUCCESS,
         Ok(Verdict::Broken) => ExitCode::from(1),
         Err(error) => {
