Add tests of crowds on many connections, which fail

The existing tests with hostile callers measure the resident memory of the process. The platform also counts what was received and not read, and an operator sees what is not written. The new tests sample both, with the sockets to endpoints, while a crowd is connected, and compare the sum with memory_mb (88, the smallest machine; a MB counts as 1,000,000 bytes). Descriptors keep the bound of the existing tests.

Callers that connect again whenever they are closed (1,000, of five kinds of bodies, and of chunks alone; three crowds of 500 after each other), 1,500 requests that run, 900 responses that nobody reads, and 400 endless heads at the address of readiness checks.

A first run of run::returning_crowds stopped at the check that the crowd had sent a request, because a caller counted only after its connection was closed; callers count as soon as they have sent.

--- a/crates/jasminewall/tests/hostile_callers/crowd.rs
+++ b/crates/jasminewall/tests/hostile_callers/crowd.rs
@@ -21,6 +21,8 @@
 
 /// Longest wait for a response.
 const RESPONSE_TIME: Duration = Duration::from_secs(30);
+/// Pause of a restless caller before it connects again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Bytes that a caller writes: pieces, each a number of times.
 #[derive(Clone, Default)]
@@ -68,6 +70,11 @@
     }
 }
 
+async fn wait_closed(stream: &mut TcpStream) {
+    let mut discarded = [0; 1_024];
+    while stream.read(&mut discarded).await.is_ok_and(|size| size > 0) {}
+}
+
 /// Callers that stay connected until the value is dropped.
 #[derive(Default)]
 pub(crate) struct Crowd {
@@ -90,6 +97,30 @@
         });
     }
 
+    /// Adds a caller that sends its request again on a new connection whenever the router closes its
+    /// connection.
+    pub(crate) fn add_restless(&mut self, address: SocketAddr, plan: SendPlan) {
+        let sent = self.sent.clone();
+        self.callers.spawn(async move {
+            loop {
+                if let Ok(mut stream) = TcpStream::connect(address).await {
+                    // A failed write means that the router has closed the connection.
+                    let is_open = plan.send(&mut stream).await.is_ok();
+                    sent.fetch_add(1, Ordering::Relaxed);
+                    if is_open {
+                        wait_closed(&mut stream).await;
+                    }
+                }
+                tokio::time::sleep(RECONNECT_PAUSE).await;
+            }
+        });
+    }
+
+    /// Number of requests that were sent or broken off.
+    pub(crate) fn sent(&self) -> usize {
+        self.sent.load(Ordering::Relaxed)
+    }
+
     /// Waits until all callers have sent what they want, or for the given time if the router does
     /// not read it.
     pub(crate) async fn wait_sent(&self, limit: Duration) {
--- a/crates/jasminewall/tests/hostile_callers/main.rs
+++ b/crates/jasminewall/tests/hostile_callers/main.rs
@@ -10,10 +10,16 @@
 
 use crate::{
     crowd::{Crowd, SendPlan},
+    pressure::{
+        chunked_bodies, mixed_bodies, returning_crowds, running_requests, status_connections,
+        unread_responses,
+    },
     target::{RouterTarget, start_run, start_serve},
 };
 
 mod crowd;
+mod pressure;
+mod sampler;
 #[path = "../../../../platform/tests/path/standin.rs"]
 #[allow(dead_code, reason = "these tests use only some of the stand-ins")]
 mod standin;
@@ -225,7 +231,13 @@
         byte_chunks,
         excess_bodies,
         waiting_connections,
-        slow_readers
+        slow_readers,
+        mixed_bodies,
+        chunked_bodies,
+        returning_crowds,
+        running_requests,
+        unread_responses,
+        status_connections
     ]
 );
 patterns!(
@@ -237,6 +249,11 @@
         byte_chunks,
         excess_bodies,
         waiting_connections,
-        slow_readers
+        slow_readers,
+        mixed_bodies,
+        chunked_bodies,
+        returning_crowds,
+        running_requests,
+        unread_responses
     ]
 );
--- a/crates/jasminewall/tests/hostile_callers/target.rs
+++ b/crates/jasminewall/tests/hostile_callers/target.rs
@@ -10,7 +10,11 @@
 };
 
 use {
-    axum::body::Bytes,
+    axum::{
+        Router,
+        body::Bytes,
+        http::{HeaderMap, HeaderValue},
+    },
     jasminewall_ports::{MemoryRows, RowKey},
     serde_json::{Value, json},
     tokio::net::{TcpListener, TcpStream},
@@ -19,11 +23,15 @@
 use crate::{
     MEMORY_MB,
     crowd::SendPlan,
+    sampler::MemorySampler,
     standin::{self, Behavior, FakeEndpoint},
 };
 
 /// Longest wait for a process to serve its first request.
 const START_ATTEMPTS: usize = 150;
+/// Attempts of an ordinary caller, and its pause after a refusal.
+const ORDINARY_ATTEMPTS: usize = 5;
+const RETRY_AFTER: Duration = Duration::from_millis(1_500);
 
 /// Memory and descriptors of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,6 +77,16 @@
     pub(crate) path: String,
     /// Target of requests with a large response.
     pub(crate) large_path: String,
+    /// Target of requests whose response has 200 KB.
+    pub(crate) wide_path: String,
+    /// Target of requests that are answered after a minute.
+    pub(crate) slow_path: String,
+    /// Address of readiness checks, if it is not that of callers.
+    pub(crate) readiness: Option<SocketAddr>,
+    /// Ports of the endpoints.
+    endpoint_ports: Vec<u16>,
+    /// Stand-ins in the process of the test.
+    endpoints: Vec<FakeEndpoint>,
     /// Bytes of a request head that the router still waits to end.
     pub(crate) open_head: usize,
     headers: &'static str,
@@ -121,6 +139,32 @@
         }
     }
 
+    /// Sends a request of an ordinary caller, which repeats it after a refusal.
+    pub(crate) async fn request_with_retries(&self) -> Result<u16, String> {
+        let mut answer = Err("not sent".to_owned());
+        for _ in 0..ORDINARY_ATTEMPTS {
+            answer = self.request(&self.path, 4_000).await;
+            if answer == Ok(200) {
+                break;
+            }
+            tokio::time::sleep(RETRY_AFTER).await;
+        }
+        answer
+    }
+
+    /// Measures the process until the sampler ends.
+    pub(crate) fn sampler(&self) -> MemorySampler {
+        let process = self.processes[0].0.id();
+        MemorySampler::start(process, self.address.port(), self.endpoint_ports.clone())
+    }
+
+    /// Forgets the requests that stand-ins in the process of the test keep.
+    pub(crate) fn forget_requests(&self) {
+        for endpoint in &self.endpoints {
+            endpoint.ran.lock().expect("not poisoned").clear();
+        }
+    }
+
     /// Waits until an ordinary request is answered.
     async fn wait_ready(self) -> Self {
         for _ in 0..START_ATTEMPTS {
@@ -155,6 +199,15 @@
     std::fs::write(path, text).expect("a file");
 }
 
+/// Responds with 200 KB.
+async fn respond_wide(headers: HeaderMap) -> ([(&'static str, HeaderValue); 2], Vec<u8>) {
+    let headers = [
+        ("attempt-id", headers["attempt-id"].clone()),
+        ("response-seal", HeaderValue::from_static("seal")),
+    ];
+    (headers, vec![b'x'; 200_000])
+}
+
 /// Starts `jasminewall serve` with a stand-in store, and two services of one endpoint each.
 pub(crate) async fn start_serve() -> RouterTarget {
     let rows = MemoryRows::new();
@@ -171,35 +224,49 @@
         "op",
         "config",
         &json!({
-            "Version": 1, "Routes": [route("app"), route("large")],
-            "Services": [{"Name": "app"}, {"Name": "large"}],
+            "Version": 1,
+            "Routes": [route("app"), route("large"), route("wide"), route("slow")],
+            "Services": [{"Name": "app"}, {"Name": "large"}, {"Name": "wide"}, {"Name": "slow"}],
             "Limits": {"MaxHeaderBytes": 16_384, "MaxBodyBytes": 4_194_304, "IdleTimeoutMs": 60_000},
         }),
     );
-    let services = [
-        ("app", "app-1", Behavior::Healthy),
-        ("large", "large-1", Behavior::EndlessBody),
-    ];
-    for (service, name, behavior) in services {
-        let (_, address) = FakeEndpoint::start(name, behavior).await;
+    let register = |service: &str, name: &str, address: SocketAddr| {
+        let slots = match service {
+            "wide" | "slow" => 2_000,
+            _ => 200,
+        };
         put(
             "servers",
             name,
             &json!({"Service": service, "Address": address, "Zone": "a",
-            "Slots": 200, "State": "ready", "Sequence": 1, "born": 1}),
+            "Slots": slots, "State": "ready", "Sequence": 1, "born": 1}),
         );
+    };
+    let services = [
+        ("app", "app-1", Behavior::Healthy),
+        ("large", "large-1", Behavior::EndlessBody),
+        ("slow", "slow-1", Behavior::Unresponsive),
+    ];
+    let (mut endpoints, mut endpoint_ports) = (Vec::new(), Vec::new());
+    for (service, name, behavior) in services {
+        let (endpoint, address) = FakeEndpoint::start(name, behavior).await;
+        endpoints.push(endpoint);
+        register(service, name, address);
+        endpoint_ports.push(address.port());
     }
+    let wide_address = standin::spawn_server(Router::new().fallback(respond_wide)).await;
+    register("wide", "wide-1", wide_address);
+    endpoint_ports.push(wide_address.port());
     let store = standin::start_store(rows.clone()).await;
-    let address = free_port().await;
+    let (address, readiness) = (free_port().await, free_port().await);
     let folder = test_folder("serve");
     let setting = folder.join("router.ini");
     write(
         &setting,
         &format!(
-            "[router]\nvm = vm-1\nfailure_domain = a\nlisten = {address}\nreadiness = {}\n\
+            "[router]\nvm = vm-1\nfailure_domain = a\nlisten = {address}\nreadiness = {readiness}\n\
          peer_listen = {}\nmemory_mb = {MEMORY_MB}\n[store]\naddress = {store}\n[log]\nformat = json\nlevel = info,tarpc=error\n",
             free_port().await,
-            free_port().await,
         ),
     );
     let process = ChildProcess::spawn("serve", &setting, &folder.join("router.log"));
@@ -208,6 +275,11 @@
         address,
         path: "/app/1".to_owned(),
         large_path: "/large/1".to_owned(),
+        wide_path: "/wide/1".to_owned(),
+        slow_path: "/slow/1".to_owned(),
+        readiness: Some(readiness),
+        endpoint_ports,
+        endpoints,
         open_head: 30_000,
         headers: "",
     };
@@ -218,19 +290,23 @@
 pub(crate) async fn start_run() -> RouterTarget {
     let (address, platform) = (free_port().await, free_port().await);
     let folder = test_folder("run");
-    write(
-        &folder.join("fleet.toml"),
-        &format!(
-            "schema = 2\n[[endpoint]]\nname = \"app-1\"\nruns = \"plain_service\"\naddress = \"{}\"\n\
-         failure_domain = \"domain-a\"\nslots = 200\n\
-         [[route]]\nname = \"app\"\nendpoints = [\"app-1\"]\nprice = 1\nanswer_limit_bytes = 4194304\n\
-         [[customer]]\nname = \"parish\"\n\
+    let mut endpoints = Vec::new();
+    let mut declarations = "schema = 2\n".to_owned();
+    for (name, slots) in [("app", 200), ("wide", 2_000), ("slow", 2_000)] {
+        let address = free_port().await;
+        endpoints.push((name, address));
+        declarations += &format!(
+            "[[endpoint]]\nname = \"{name}-1\"\nruns = \"plain_service\"\naddress = \"{address}\"\n\
+             failure_domain = \"domain-a\"\nslots = {slots}\n\
+             [[route]]\nname = \"{name}\"\nendpoints = [\"{name}-1\"]\nprice = 1\n\
+             answer_limit_bytes = 4194304\n"
+        );
+    }
+    declarations += "[[customer]]\nname = \"parish\"\n\
          key_sha256 = [\"b217bdf7b013b544e53b5047c5cbe4bda70e4d58d090da88b04561230ae93f39\"]\n\
          [[budget]]\nname = \"parish-2026\"\ncustomer = \"parish\"\n\
-         [[top_up]]\nname = \"parish-first\"\nbudget = \"parish-2026\"\namount = 1000000\n",
-            free_port().await,
-        ),
-    );
+         [[top_up]]\nname = \"parish-first\"\nbudget = \"parish-2026\"\namount = 1000000\n";
+    write(&folder.join("fleet.toml"), &declarations);
     let standins = folder.join("standins.ini");
     write(
         &standins,
@@ -258,6 +334,14 @@
         address,
         path: "/svc/app/1".to_owned(),
         large_path: "/svc/app/1?bytes=4000000".to_owned(),
+        wide_path: "/svc/wide/1?bytes=200000".to_owned(),
+        slow_path: "/svc/slow/1?sleep_ms=60000".to_owned(),
+        readiness: None,
+        endpoint_ports: endpoints
+            .iter()
+            .map(|(_, address)| address.port())
+            .collect(),
+        endpoints: Vec::new(),
         open_head: 200_000,
         headers: "Authorization: Bearer sample-key-parish\r\n",
     };
