Bound the socket buffers of callers

Callers saw a router that ended: with 1,000 connections of unfinished bodies the resident memory and the unread bytes of serve reached 154,387 to 171,542 KB on a machine of 88 MB (up to 82,115 KB of them in sockets), and the platform kills a process over its memory.

Cause: MemoryPlan counted 24 KB for a connection and nothing for its socket, whose buffers the system enlarges on its own. Evidence: with default buffers a connection holds up to 128 KB unread and 4 MB unwritten, with 16 KB set 24 to 26 KB and 46 to 56 KB (loopback, writes of 1 to 65,536 bytes).

The listener of callers sets both buffers, which accepted sockets inherit, and the plan counts 112 KB for each connection.

--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -5,10 +5,12 @@
 
 mod body;
 mod connection;
+mod listener;
 mod memory;
 
 pub use crate::{
     body::BodyError,
     connection::{CallerSlot, CallerStream, GuardedBody},
+    listener::listen,
     memory::{CallerEvent, CallerMemory, METRIC_NAMES},
 };
--- a/crates/core/src/body_account.rs
+++ b/crates/core/src/body_account.rs
@@ -19,10 +19,18 @@
 const PROGRESS_BYTES: usize = 1 << 10;
 /// Memory of a machine whose settings do not name it: half of the largest in use.
 const DEFAULT_MEMORY_MB: usize = 256;
-/// Memory of a connection without a request: two buffers of 8 KB and the state of its task.
-const CONNECTION_BYTES: usize = 24 << 10;
-/// Largest number of connections on any machine.
-const CONNECTION_LIMIT: usize = 2_000;
+/// Size of the receive buffer and of the send buffer of a caller's socket, as set on the listener. Links
+/// of up to 4 ms carry 2 MB/s and more with it.
+pub const SOCKET_BUFFER: usize = 16 << 10;
+/// Bytes that the system holds for a caller's socket. It doubles the size that is set, and lets the
+/// send buffer exceed it by one segment of up to 24 KB.
+const SOCKET_BYTES: usize = 4 * SOCKET_BUFFER + (24 << 10);
+/// Memory of a connection: its socket, two buffers of 8 KB and the state of its task.
+const CONNECTION_BYTES: usize = SOCKET_BYTES + (24 << 10);
+/// Largest number of connections on any machine: a third of the 3,900 descriptors that machines have for
+/// sockets. As many are left for the requests that run at endpoints, and for idle connections to
+/// endpoints, other routers and the store.
+const CONNECTION_LIMIT: usize = 1_300;
 /// Smallest account: one body of 4 MB, and the reserve.
 const BODY_BYTES_MIN: usize = 8 << 20;
 
@@ -38,15 +46,16 @@
 }
 
 impl MemoryPlan {
-    /// A quarter of the memory holds bodies, a quarter connections, and a sixteenth heads.
+    /// A quarter of the memory holds bodies, a third connections with the buffers of their sockets, and a
+    /// thirty-second heads.
     pub fn of_machine(memory_mb: Option<usize>) -> Self {
         let memory = memory_mb
             .unwrap_or(DEFAULT_MEMORY_MB)
             .saturating_mul(1 << 20);
         Self {
             body_bytes: (memory / 4).max(BODY_BYTES_MIN),
-            connections: (memory / 4 / CONNECTION_BYTES).clamp(16, CONNECTION_LIMIT),
-            head_bytes: memory / 16,
+            connections: (memory / 3 / CONNECTION_BYTES).clamp(16, CONNECTION_LIMIT),
+            head_bytes: memory / 32,
         }
     }
 }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -15,7 +15,6 @@
     jasminewall_ports::PlatformPorts,
     rand::Rng,
     tokio::{
-        net::TcpListener,
         task::JoinSet,
         time::{Instant, sleep, timeout, timeout_at},
     },
@@ -165,7 +164,7 @@
     ///
     /// When an address cannot be bound.
     pub async fn start(setting: RouterSetting, ports: PlatformPorts) -> Result<Self> {
-        let listener = TcpListener::bind(setting.listen).await?;
+        let listener = jasminewall_caller::listen(setting.listen)?;
         let address = listener.local_addr()?;
         let setting = RouterSetting {
             listen: address,
