Limit the threads of run by the memory of its machine

Callers saw a router that ended: with bounded sockets, crowds with unfinished bodies still brought run to 96,920 to 109,116 KB of 85,937 KB on a machine of 88 MB with 8 cores.

Cause: the runtime has a thread for each core, and the allocator an arena for each thread, which keeps what was freed there.

If memory_mb is set, run uses one thread for each 64 MB, and on the smallest machines a runtime without further threads, as serve does. Without the setting it keeps a thread for each core.

--- a/crates/jasminewall/src/main.rs
+++ b/crates/jasminewall/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::IpAddr,
+    num::NonZeroUsize,
     path::{Path, PathBuf},
     pin::Pin,
     process::ExitCode,
@@ -84,7 +85,7 @@
         flags::JasminewallCmd::Standins(standins) => {
             Box::pin(async move { run_standins(&standins.settings, standins.check).await })
         }
-        flags::JasminewallCmd::Run(run) => Box::pin(run_router(run.settings, run.check)),
+        flags::JasminewallCmd::Run(run) => return run_router(&run.settings, run.check),
         flags::JasminewallCmd::Serve(serve) => return run_serve(serve.settings, serve.check),
     };
     Runtime::new()?.block_on(future)
@@ -219,10 +220,29 @@
     telemetry::start(setting.format, &setting.level)
 }
 
-async fn run_router(path: PathBuf, check: bool) -> Result<()> {
-    let Some(setting) = read_settings::<RouterSetting>(&path, check)? else {
+/// Memory of the machine in MB for each thread of the runtime. The allocator keeps what a thread has
+/// freed for that thread, so that crowds on many threads exceed the memory of a small machine.
+const THREAD_MEMORY_MB: usize = 64;
+
+fn run_router(path: &Path, check: bool) -> Result<()> {
+    let Some(setting) = read_settings::<RouterSetting>(path, check)? else {
         return Ok(());
     };
+    router_runtime(setting.limits.memory_mb)?.block_on(serve_router(setting))
+}
+
+/// Builds a runtime with a thread for each core, or fewer if the memory of the machine is known.
+fn router_runtime(memory_mb: Option<usize>) -> std::io::Result<Runtime> {
+    let cores = std::thread::available_parallelism().map_or(1, NonZeroUsize::get);
+    let threads = memory_mb.map_or(cores, |memory| (memory / THREAD_MEMORY_MB).clamp(1, cores));
+    let mut builder = match threads {
+        1 => Builder::new_current_thread(),
+        _ => Builder::new_multi_thread(),
+    };
+    builder.worker_threads(threads).enable_all().build()
+}
+
+async fn serve_router(setting: RouterSetting) -> Result<()> {
     start_log(&setting.log)?;
     let ports = HttpPlatform::new(&setting.platform)?.ports();
     let router = RouterHandle::start(setting, ports).await?;
