Refuse connections for which there is no slot

Callers waited without an answer, and the process took memory that it did not count: with 1,500 callers whose requests run, serve had 115,951 KB (75,939 KB in sockets) on a machine of 88 MB, and run 1,913 descriptors, of which 1,408 are allowed.

Cause: while all slots had running requests, the loop that accepts connections waited for one. The next 1,024 connections stayed in the listener's queue with what their callers sent. With the old number of slots, callers and the requests at endpoints took up to 1,876 descriptors.

A connection without a slot is refused at once: the connection that has waited longest without a complete request gives up its slot immediately, and if there is none, the new one gets 503 and Retry-After, and what it sent is discarded for up to a second, so that its caller can read the refusal. Connections that are evicted do so before they begin a request, since their task checks it first.

--- a/crates/caller/src/connection.rs
+++ b/crates/caller/src/connection.rs
@@ -1,9 +1,10 @@
 use std::{
+    collections::HashMap,
     fmt,
     future::Future,
     pin::Pin,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     task::{Context, Poll, ready},
@@ -13,7 +14,7 @@
 use {
     hyper::body::{Body, Frame, SizeHint},
     tokio::{
-        io::{AsyncRead, AsyncWrite, ReadBuf},
+        io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf},
         net::TcpStream,
         sync::Notify,
         time::{Sleep, timeout},
@@ -29,8 +30,16 @@
 const LINGER_BYTES: usize = 8 << 20;
 /// Bytes that are discarded at a time.
 const DISCARD_BYTES: usize = 8 << 10;
-/// Interval at which a new connection looks for a slot while all connections have requests.
-const SLOT_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Response to a connection for which there is no slot. A client retries after running requests have
+/// ended; most take less than a second.
+const REFUSAL: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+/// Time for which a refused connection stays open, and bytes that it discards, so that its caller can
+/// read the response before a reset.
+const REFUSAL_TIME: Duration = Duration::from_secs(1);
+const REFUSAL_DISCARD_BYTES: u64 = 64 << 10;
+/// Refused connections that are open at once.
+pub(crate) const REFUSAL_LIMIT: usize = 64;
 /// Part of an incomplete head from which its connection is closed if heads take too much memory; it
 /// exceeds the first read buffer.
 const LARGE_HEAD: usize = 8 << 10;
@@ -55,24 +64,13 @@
 }
 
 impl CallerMemory {
-    /// Waits for a slot for a new connection. If all are taken, the connection that has waited
-    /// longest without a complete request gives up its slot.
-    pub async fn admit(self: &Arc<Self>) -> Arc<CallerSlot> {
-        loop {
-            let released = self.released.notified();
-            if let Some(slot) = self.try_admit() {
-                return slot;
-            }
-            self.evict_longest_waiting(0);
-            // The slot is free when the task of its connection has ended.
-            let _ = timeout(SLOT_POLL_INTERVAL, released).await;
-        }
-    }
-
-    fn try_admit(self: &Arc<Self>) -> Option<Arc<CallerSlot>> {
+    /// Takes a slot for a new connection. If all are taken, the connection that has waited longest
+    /// without a complete request gives up its own. Returns `None` if all connections have requests.
+    pub fn admit(self: &Arc<Self>) -> Option<Arc<CallerSlot>> {
         static SERIAL: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
-        let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
-        if slots.len() >= self.plan.connections {
+        let mut slots = self.slots();
+        if slots.len() >= self.plan.connections && !self.evict_longest_waiting(&mut slots, 0) {
+            self.record(CallerEvent::ConnectionRefused);
             return None;
         }
         let slot = Arc::new(CallerSlot {
@@ -88,21 +86,52 @@
         Some(slot)
     }
 
-    /// Closes the connection that has waited longest, of those with at least `head` bytes of a head.
-    fn evict_longest_waiting(&self, head: usize) {
-        let slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+    fn slots(&self) -> MutexGuard<'_, HashMap<u64, Arc<CallerSlot>>> {
+        self.slots.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Closes the connection that has waited longest, of those with at least `head` bytes of a head. Its
+    /// slot is free at once, and its task ends when it is polled next.
+    fn evict_longest_waiting(
+        &self,
+        slots: &mut HashMap<u64, Arc<CallerSlot>>,
+        head: usize,
+    ) -> bool {
         let waiting = slots.values().filter_map(|slot| {
             let since = (*slot.waiting())?;
-            (slot.head.load(Ordering::Relaxed) >= head).then_some((since, slot))
+            (slot.head.load(Ordering::Relaxed) >= head).then_some((since, slot.id))
         });
-        let longest = waiting.min_by_key(|(since, _)| *since);
-        if let Some((since, slot)) = longest {
+        let Some((since, id)) = waiting.min() else {
+            return false;
+        };
+        if let Some(slot) = slots.remove(&id) {
             *slot.waiting() = None;
             slot.evictor.notify_one();
-            let waited_ms = since.elapsed().as_millis();
-            tracing::info!(%waited_ms, "a connection without a complete request gives up its slot");
-            self.record(CallerEvent::ConnectionEvicted);
         }
+        let waited_ms = since.elapsed().as_millis();
+        tracing::info!(%waited_ms, "a connection without a complete request gives up its slot");
+        self.record(CallerEvent::ConnectionEvicted);
+        true
+    }
+
+    /// Answers a connection for which there is no slot, and closes it. It is closed without an answer if
+    /// many are being refused; its request was not read in both cases.
+    pub fn refuse(&self, mut stream: TcpStream) {
+        let Ok(permit) = self.refusals.clone().try_acquire_owned() else {
+            return;
+        };
+        tokio::spawn(async move {
+            let _permit = permit;
+            let exchange = async {
+                stream.write_all(REFUSAL).await?;
+                stream.shutdown().await?;
+                let discarded = &mut stream.take(REFUSAL_DISCARD_BYTES);
+                tokio::io::copy(discarded, &mut tokio::io::sink()).await
+            };
+            if let Ok(Err(error)) = timeout(REFUSAL_TIME, exchange).await {
+                tracing::debug!(%error, "a refused connection failed");
+            }
+        });
     }
 }
 
@@ -125,14 +154,7 @@
     /// Releases the slot; called when the connection is closed.
     pub fn release(&self) {
         self.end_head();
-        let mut slots = self
-            .memory
-            .slots
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        slots.remove(&self.id);
-        drop(slots);
-        self.memory.released.notify_waiters();
+        self.memory.slots().remove(&self.id);
     }
 
     /// Called when the head of a request is complete.
@@ -172,7 +194,8 @@
         self.head.fetch_add(bytes, Ordering::Relaxed);
         let heads = self.memory.heads.fetch_add(bytes, Ordering::Relaxed) + bytes;
         if heads > self.memory.plan.head_bytes {
-            self.memory.evict_longest_waiting(LARGE_HEAD);
+            let mut slots = self.memory.slots();
+            self.memory.evict_longest_waiting(&mut slots, LARGE_HEAD);
         }
     }
 }
--- a/crates/caller/src/memory.rs
+++ b/crates/caller/src/memory.rs
@@ -9,10 +9,10 @@
 
 use {
     jasminewall_core::body_account::{BodyAccount, BodyId, MemoryPlan},
-    tokio::sync::Notify,
+    tokio::sync::{Notify, Semaphore},
 };
 
-use crate::connection::CallerSlot;
+use crate::connection::{CallerSlot, REFUSAL_LIMIT};
 
 /// Names of the metrics of `jasminewall serve`, as listed in `docs/metrics.md`.
 pub const METRIC_NAMES: &[&str] = &["caller_limits", "body_bytes"];
@@ -30,16 +30,19 @@
     BodyStalled,
     /// A connection gave up its slot to a new one, or its memory to other request heads.
     ConnectionEvicted,
+    /// A connection was refused since all others have requests.
+    ConnectionRefused,
 }
 
 impl CallerEvent {
     /// All events, in the order of the counters.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::BodyTooLarge,
         Self::BodyMemoryFull,
         Self::BodyEvicted,
         Self::BodyStalled,
         Self::ConnectionEvicted,
+        Self::ConnectionRefused,
     ];
 
     /// Name in metrics and logs.
@@ -50,6 +53,7 @@
             Self::BodyEvicted => "body_evicted",
             Self::BodyStalled => "body_stalled",
             Self::ConnectionEvicted => "connection_evicted",
+            Self::ConnectionRefused => "connection_refused",
         }
     }
 }
@@ -62,6 +66,8 @@
     pub(crate) released: Notify,
     pub(crate) slots: Mutex<HashMap<u64, Arc<CallerSlot>>>,
     pub(crate) heads: AtomicUsize,
+    /// Permits of refused connections that are still open.
+    pub(crate) refusals: Arc<Semaphore>,
     counts: [AtomicU64; CallerEvent::ALL.len()],
 }
 
@@ -77,6 +83,7 @@
             released: Notify::new(),
             slots: Mutex::default(),
             heads: AtomicUsize::new(0),
+            refusals: Arc::new(Semaphore::new(REFUSAL_LIMIT)),
             counts: Default::default(),
         })
     }
--- a/crates/router/src/api.rs
+++ b/crates/router/src/api.rs
@@ -171,13 +171,10 @@
             () = state.drain.cancelled() => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                let slot = tokio::select! {
-                    slot = api.memory.admit() => slot,
-                    () = state.drain.cancelled() => break,
-                };
-                serve_connection(&builder, &graceful, &app, &api, stream, slot);
-            }
+            Ok((stream, _)) => match api.memory.admit() {
+                Some(slot) => serve_connection(&builder, &graceful, &app, &api, stream, slot),
+                None => api.memory.refuse(stream),
+            },
             Err(error) => {
                 // `accept` fails for all callers when file descriptors run out. The pause lets
                 // running requests release some.
@@ -218,11 +215,13 @@
     let api = api.clone();
     tokio::spawn(async move {
         let result = tokio::select! {
-            result = connection => result,
+            // An evicted connection must not begin a request.
+            biased;
             () = slot.evicted() => {
                 api.state.metrics.count_refusal("connection_evicted");
                 Ok(())
             }
+            result = connection => result,
         };
         if let Err(error) = result {
             tracing::debug!(%error, "caller connection failed");
