Bound the memory of responses that callers do not read

Callers saw a router that ended: with 900 callers that do not read a response of 200 KB, serve reached 135,247 KB and run 140,767 KB on a machine of 88 MB, of which 85,937 KB are allowed.

Causes: sockets to endpoints grow to megabytes while nobody takes their bytes; serve keeps 64 KB of each response without counting it; run takes them from the account of requests; and a closed connection leaves its unwritten bytes in the system for minutes.

Sockets to endpoints have bounded receive buffers. Kept responses have a share (a sixteenth of the memory); beyond it a response is passed on as it arrives. Buffered responses of run have an account of their own (an eighth). Callers that do not read are counted, and the one that has not read for the longest time is closed when they exceed an eighth. Evicted connections whose last response may lie in the socket are reset, 2 s after that response at the earliest. Connections of run count with 176 KB, since their requests run in tasks of their own.

The tests listen on loopback addresses of their own, and wait for the stand-ins for a bounded time: a run of run::mixed_bodies hung for ten minutes before its first request. That is not traced; ports of 127.0.0.1 that other connections occupy are suspected.

--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     connection::CallerSlot,
-    memory::{BodyHold, CallerEvent, CallerMemory},
+    memory::{BodyHold, BodyKind, CallerEvent, CallerMemory},
 };
 
 /// Capacity of the buffer of a large body. The allocator maps buffers of this size separately whatever
@@ -106,18 +106,14 @@
         let deadline = wait_until.unwrap_or_else(|| Instant::now() + PROGRESS_TIMEOUT);
         loop {
             let released = memory.released.notified();
-            let growth = memory.account().grow(self.id, bytes, Instant::now());
-            let others = match growth {
+            let others = match self.try_grow(bytes) {
                 BodyGrowth::Granted => return Ok(()),
                 BodyGrowth::Refused if wait_until.is_none() => return Err(BodyError::MemoryFull),
                 BodyGrowth::Refused => Vec::new(),
                 BodyGrowth::Wait(others) => others,
             };
             for other in others {
-                memory.record(CallerEvent::BodyEvicted);
-                if let Some(evictor) = memory.evictors().get(&other) {
-                    evictor.notify_one();
-                }
+                self.evict(other);
             }
             if Instant::now() >= deadline {
                 return Err(BodyError::MemoryFull);
@@ -202,7 +198,11 @@
         if length == Some(0) || body.is_end_stream() {
             return Ok(Bytes::new());
         }
-        let hold = self.open_body(evictor.clone());
+        let kind = match is_request {
+            true => BodyKind::Request,
+            false => BodyKind::Response,
+        };
+        let hold = self.open_body(kind, evictor.clone());
         let mut buffer = BodyBuffer {
             bytes: Vec::new(),
             counted: 0,
@@ -216,8 +216,7 @@
             buffer.counted = counted;
         }
         loop {
-            let expires_at = self.account().expires_at(buffer.hold.id);
-            let expires_at = expires_at.ok_or(BodyError::Stalled)?;
+            let expires_at = buffer.hold.expires_at().ok_or(BodyError::Stalled)?;
             let frame = async {
                 if is_request {
                     timeout_at(expires_at.into(), body.frame()).await
@@ -249,9 +248,7 @@
             };
             buffer.reserve(wanted, &evictor).await?;
             buffer.bytes.extend_from_slice(&data);
-            let mut account = self.account();
-            account.record(buffer.hold.id, data.len(), Instant::now());
-            drop(account);
+            buffer.hold.record(data.len());
             if Some(size) == length {
                 break;
             }
@@ -268,7 +265,7 @@
         T: AsRef<[u8]> + Send + 'static,
     {
         let hold = self.hold;
-        if is_request && !hold.memory.account().complete(hold.id) {
+        if is_request && !hold.complete() {
             return Err(BodyError::Stalled);
         }
         Ok(Bytes::from_owner(OwnedBody { bytes, _hold: hold }))
--- a/crates/caller/src/connection.rs
+++ b/crates/caller/src/connection.rs
@@ -12,7 +12,9 @@
 };
 
 use {
+    bytes::Buf,
     hyper::body::{Body, Frame, SizeHint},
+    jasminewall_core::body_account::SOCKET_BUFFER,
     tokio::{
         io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf},
         net::TcpStream,
@@ -30,6 +32,9 @@
 const LINGER_BYTES: usize = 8 << 20;
 /// Bytes that are discarded at a time.
 const DISCARD_BYTES: usize = 8 << 10;
+/// Time for which a connection keeps its slot after a response that may not fit into the send buffer, so
+/// that its caller can read it.
+const DELIVERY_TIME: Duration = Duration::from_secs(2);
 /// Response to a connection for which there is no slot. A client retries after running requests have
 /// ended; most take less than a second.
 const REFUSAL: &[u8] =
@@ -50,10 +55,18 @@
     memory: Arc<CallerMemory>,
     /// Since when the connection has had no complete request; `None` while it has one.
     waiting_since: Mutex<Option<Instant>>,
+    /// When the caller has had time to read the last response.
+    delivered_at: Mutex<Instant>,
     /// Bytes of the head that is being read.
     head: AtomicUsize,
     in_head: AtomicBool,
     is_closing: AtomicBool,
+    is_evicted: AtomicBool,
+    /// Whether the connection is reset when it is evicted, since the last response may not fit into the
+    /// send buffer.
+    resets: AtomicBool,
+    /// Since when the caller does not read what is written to it.
+    blocked_since: Mutex<Option<Instant>>,
     evictor: Arc<Notify>,
 }
 
@@ -65,7 +78,8 @@
 
 impl CallerMemory {
     /// Takes a slot for a new connection. If all are taken, the connection that has waited longest
-    /// without a complete request gives up its own. Returns `None` if all connections have requests.
+    /// without a complete request gives up its own. Returns `None` if all connections have requests or
+    /// have just got a large response.
     pub fn admit(self: &Arc<Self>) -> Option<Arc<CallerSlot>> {
         static SERIAL: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
         let mut slots = self.slots();
@@ -73,13 +87,18 @@
             self.record(CallerEvent::ConnectionRefused);
             return None;
         }
+        let now = Instant::now();
         let slot = Arc::new(CallerSlot {
             id: SERIAL.fetch_add(1, Ordering::Relaxed),
             memory: self.clone(),
-            waiting_since: Mutex::new(Some(Instant::now())),
+            waiting_since: Mutex::new(Some(now)),
+            delivered_at: Mutex::new(now),
             head: AtomicUsize::new(0),
             in_head: AtomicBool::new(true),
             is_closing: AtomicBool::new(false),
+            is_evicted: AtomicBool::new(false),
+            resets: AtomicBool::new(false),
+            blocked_since: Mutex::default(),
             evictor: Arc::default(),
         });
         slots.insert(slot.id, slot.clone());
@@ -97,8 +116,12 @@
         slots: &mut HashMap<u64, Arc<CallerSlot>>,
         head: usize,
     ) -> bool {
+        let now = Instant::now();
         let waiting = slots.values().filter_map(|slot| {
             let since = (*slot.waiting())?;
+            if *slot.delivered_at() > now {
+                return None;
+            }
             (slot.head.load(Ordering::Relaxed) >= head).then_some((since, slot.id))
         });
         let Some((since, id)) = waiting.min() else {
@@ -114,6 +137,24 @@
         true
     }
 
+    /// Closes the connection whose caller has not read its response for the longest time, if there are
+    /// too many of them.
+    fn limit_blocked(&self) {
+        if self.blocked.load(Ordering::Relaxed) <= self.plan.blocked_callers {
+            return;
+        }
+        let slots = self.slots();
+        let blocked = slots
+            .values()
+            .filter_map(|slot| Some(((*slot.blocked())?, slot.id)));
+        if let Some(slot) = blocked.min().and_then(|(_, id)| slots.get(&id)) {
+            slot.set_blocked(false);
+            slot.evictor.notify_one();
+            tracing::info!("a connection whose caller does not read is closed");
+            self.record(CallerEvent::ReaderEvicted);
+        }
+    }
+
     /// Answers a connection for which there is no slot, and closes it. It is closed without an answer if
     /// many are being refused; its request was not read in both cases.
     pub fn refuse(&self, mut stream: TcpStream) {
@@ -142,9 +183,38 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn delivered_at(&self) -> MutexGuard<'_, Instant> {
+        self.delivered_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn blocked(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.blocked_since
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records whether the caller reads. Returns whether that changed.
+    fn set_blocked(&self, is_blocked: bool) -> bool {
+        let mut blocked = self.blocked();
+        if blocked.is_some() == is_blocked {
+            return false;
+        }
+        *blocked = is_blocked.then(Instant::now);
+        let count = &self.memory.blocked;
+        if is_blocked {
+            count.fetch_add(1, Ordering::Relaxed);
+        } else {
+            count.fetch_sub(1, Ordering::Relaxed);
+        }
+        true
+    }
+
     /// Completes when the connection must be closed.
     pub async fn evicted(&self) {
         self.evictor.notified().await;
+        self.is_evicted.store(true, Ordering::Relaxed);
     }
 
     pub(crate) fn evictor(&self) -> Arc<Notify> {
@@ -154,6 +224,7 @@
     /// Releases the slot; called when the connection is closed.
     pub fn release(&self) {
         self.end_head();
+        self.set_blocked(false);
         self.memory.slots().remove(&self.id);
     }
 
@@ -173,6 +244,7 @@
     pub fn guard<B>(self: &Arc<Self>, body: B) -> GuardedBody<B> {
         GuardedBody {
             body,
+            bytes: 0,
             slot: self.clone(),
         }
     }
@@ -203,13 +275,21 @@
 /// Body of a response. Its connection waits for the next request when it is dropped.
 pub struct GuardedBody<B> {
     body: B,
+    /// Bytes that were handed out.
+    bytes: usize,
     slot: Arc<CallerSlot>,
 }
 
 impl<B> Drop for GuardedBody<B> {
     fn drop(&mut self) {
         self.slot.in_head.store(true, Ordering::Relaxed);
-        *self.slot.waiting() = Some(Instant::now());
+        let now = Instant::now();
+        let is_large = self.bytes > SOCKET_BUFFER;
+        self.slot.resets.store(is_large, Ordering::Relaxed);
+        if is_large {
+            *self.slot.delivered_at() = now + DELIVERY_TIME;
+        }
+        *self.slot.waiting() = Some(now);
     }
 }
 
@@ -221,7 +301,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let poll = Pin::new(&mut self.body).poll_frame(context);
+        if let Poll::Ready(Some(Ok(frame))) = &poll {
+            self.bytes += frame.data_ref().map_or(0, Buf::remaining);
+        }
+        poll
     }
 
     fn is_end_stream(&self) -> bool {
@@ -240,6 +324,7 @@
     slot: Arc<CallerSlot>,
     linger: Option<Pin<Box<Sleep>>>,
     discarded: usize,
+    is_blocked: bool,
 }
 
 impl CallerStream {
@@ -250,6 +335,15 @@
             slot,
             linger: None,
             discarded: 0,
+            is_blocked: false,
+        }
+    }
+
+    /// Records whether the caller reads what is written to it.
+    fn record_write<T>(&mut self, poll: &Poll<T>) {
+        self.is_blocked = poll.is_pending();
+        if self.slot.set_blocked(poll.is_pending()) && poll.is_pending() {
+            self.slot.memory.limit_blocked();
         }
     }
 
@@ -267,6 +361,20 @@
     }
 }
 
+impl Drop for CallerStream {
+    /// Resets an evicted connection whose caller may not have read all: the system would keep the rest for
+    /// minutes after the connection was closed.
+    fn drop(&mut self) {
+        let is_evicted = self.slot.is_evicted.load(Ordering::Relaxed);
+        if is_evicted
+            && (self.is_blocked || self.slot.resets.load(Ordering::Relaxed))
+            && let Err(error) = self.stream.set_zero_linger()
+        {
+            tracing::debug!(%error, "cannot reset a connection");
+        }
+    }
+}
+
 impl AsyncRead for CallerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -288,7 +396,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let poll = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.record_write(&poll);
+        poll
     }
 
     fn poll_write_vectored(
@@ -296,7 +406,9 @@
         context: &mut Context<'_>,
         slices: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let poll = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.record_write(&poll);
+        poll
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/caller/src/memory.rs
+++ b/crates/caller/src/memory.rs
@@ -8,7 +8,7 @@
 };
 
 use {
-    jasminewall_core::body_account::{BodyAccount, BodyId, MemoryPlan},
+    jasminewall_core::body_account::{BodyAccount, BodyGrowth, BodyId, MemoryPlan},
     tokio::sync::{Notify, Semaphore},
 };
 
@@ -17,6 +17,13 @@
 /// Names of the metrics of `jasminewall serve`, as listed in `docs/metrics.md`.
 pub const METRIC_NAMES: &[&str] = &["caller_limits", "body_bytes"];
 
+/// Whose body it is; each kind has an account.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum BodyKind {
+    Request,
+    Response,
+}
+
 /// Limit that a caller met.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallerEvent {
@@ -32,17 +39,20 @@
     ConnectionEvicted,
     /// A connection was refused since all others have requests.
     ConnectionRefused,
+    /// A connection whose caller does not read its response was closed since there are too many.
+    ReaderEvicted,
 }
 
 impl CallerEvent {
     /// All events, in the order of the counters.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::BodyTooLarge,
         Self::BodyMemoryFull,
         Self::BodyEvicted,
         Self::BodyStalled,
         Self::ConnectionEvicted,
         Self::ConnectionRefused,
+        Self::ReaderEvicted,
     ];
 
     /// Name in metrics and logs.
@@ -54,6 +64,7 @@
             Self::BodyStalled => "body_stalled",
             Self::ConnectionEvicted => "connection_evicted",
             Self::ConnectionRefused => "connection_refused",
+            Self::ReaderEvicted => "reader_evicted",
         }
     }
 }
@@ -61,38 +72,55 @@
 /// Memory that a process holds for callers.
 pub struct CallerMemory {
     pub(crate) plan: MemoryPlan,
-    account: Mutex<BodyAccount>,
-    evictors: Mutex<HashMap<BodyId, Arc<Notify>>>,
+    requests: Mutex<BodyAccount>,
+    responses: Mutex<BodyAccount>,
+    evictors: Mutex<HashMap<(BodyKind, BodyId), Arc<Notify>>>,
     pub(crate) released: Notify,
     pub(crate) slots: Mutex<HashMap<u64, Arc<CallerSlot>>>,
     pub(crate) heads: AtomicUsize,
+    /// Callers that do not read their responses.
+    pub(crate) blocked: AtomicUsize,
     /// Permits of refused connections that are still open.
     pub(crate) refusals: Arc<Semaphore>,
     counts: [AtomicU64; CallerEvent::ALL.len()],
 }
 
 impl CallerMemory {
-    /// Creates the account and the slots for a machine with the given memory in MB.
+    /// Creates the accounts and the slots for a machine with the given memory in MB.
     pub fn new(memory_mb: Option<usize>) -> Arc<Self> {
-        let plan = MemoryPlan::of_machine(memory_mb);
-        tracing::info!(?memory_mb, ?plan, "limits of callers");
+        Self::with_plan(MemoryPlan::of_machine(memory_mb))
+    }
+
+    /// Like [`Self::new`], for requests that run in tasks of their own.
+    pub fn detached(memory_mb: Option<usize>) -> Arc<Self> {
+        Self::with_plan(MemoryPlan::of_detached(memory_mb))
+    }
+
+    fn with_plan(plan: MemoryPlan) -> Arc<Self> {
+        tracing::info!(?plan, "limits of callers");
         Arc::new(Self {
             plan,
-            account: Mutex::new(BodyAccount::new(plan.body_bytes)),
+            requests: Mutex::new(BodyAccount::new(plan.body_bytes)),
+            responses: Mutex::new(BodyAccount::new(plan.response_bytes)),
             evictors: Mutex::default(),
             released: Notify::new(),
             slots: Mutex::default(),
             heads: AtomicUsize::new(0),
+            blocked: AtomicUsize::new(0),
             refusals: Arc::new(Semaphore::new(REFUSAL_LIMIT)),
             counts: Default::default(),
         })
     }
 
-    pub(crate) fn account(&self) -> MutexGuard<'_, BodyAccount> {
-        self.account.lock().unwrap_or_else(PoisonError::into_inner)
+    fn account(&self, kind: BodyKind) -> MutexGuard<'_, BodyAccount> {
+        let account = match kind {
+            BodyKind::Request => &self.requests,
+            BodyKind::Response => &self.responses,
+        };
+        account.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(crate) fn evictors(&self) -> MutexGuard<'_, HashMap<BodyId, Arc<Notify>>> {
+    fn evictors(&self) -> MutexGuard<'_, HashMap<(BodyKind, BodyId), Arc<Notify>>> {
         self.evictors.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -109,15 +137,17 @@
 
     /// Bytes that are held for bodies.
     pub fn held_bytes(&self) -> usize {
-        self.account().held()
+        let kinds = [BodyKind::Request, BodyKind::Response];
+        kinds.map(|kind| self.account(kind).held()).iter().sum()
     }
 
     /// Adds a body that `evictor` ends.
-    pub(crate) fn open_body(self: &Arc<Self>, evictor: Arc<Notify>) -> BodyHold {
-        let id = self.account().open(Instant::now());
-        self.evictors().insert(id, evictor);
+    pub(crate) fn open_body(self: &Arc<Self>, kind: BodyKind, evictor: Arc<Notify>) -> BodyHold {
+        let id = self.account(kind).open(Instant::now());
+        self.evictors().insert((kind, id), evictor);
         BodyHold {
             memory: self.clone(),
+            kind,
             id,
         }
     }
@@ -126,13 +156,48 @@
 /// Body in the account, released on drop.
 pub(crate) struct BodyHold {
     pub(crate) memory: Arc<CallerMemory>,
-    pub(crate) id: BodyId,
+    kind: BodyKind,
+    id: BodyId,
+}
+
+impl BodyHold {
+    fn account(&self) -> MutexGuard<'_, BodyAccount> {
+        self.memory.account(self.kind)
+    }
+
+    /// Counts `bytes` more.
+    pub(crate) fn try_grow(&self, bytes: usize) -> BodyGrowth {
+        self.account().grow(self.id, bytes, Instant::now())
+    }
+
+    /// Ends another body of the account.
+    pub(crate) fn evict(&self, other: BodyId) {
+        self.memory.record(CallerEvent::BodyEvicted);
+        if let Some(evictor) = self.memory.evictors().get(&(self.kind, other)) {
+            evictor.notify_one();
+        }
+    }
+
+    /// Records bytes that arrived.
+    pub(crate) fn record(&self, bytes: usize) {
+        self.account().record(self.id, bytes, Instant::now());
+    }
+
+    /// When the body ends unless it makes progress; `None` if it was evicted.
+    pub(crate) fn expires_at(&self) -> Option<Instant> {
+        self.account().expires_at(self.id)
+    }
+
+    /// Marks the body as complete. Returns `false` if it was evicted before.
+    pub(crate) fn complete(&self) -> bool {
+        self.account().complete(self.id)
+    }
 }
 
 impl Drop for BodyHold {
     fn drop(&mut self) {
-        self.memory.account().close(self.id);
-        self.memory.evictors().remove(&self.id);
+        self.account().close(self.id);
+        self.memory.evictors().remove(&(self.kind, self.id));
         self.memory.released.notify_waiters();
     }
 }
--- a/crates/core/src/body_account.rs
+++ b/crates/core/src/body_account.rs
@@ -27,35 +27,60 @@
 const SOCKET_BYTES: usize = 4 * SOCKET_BUFFER + (24 << 10);
 /// Memory of a connection: its socket, two buffers of 8 KB and the state of its task.
 const CONNECTION_BYTES: usize = SOCKET_BYTES + (24 << 10);
+/// Memory of a connection of `run`, whose requests run in tasks of their own, with the buffers of their
+/// connections to endpoints.
+const DETACHED_CONNECTION_BYTES: usize = CONNECTION_BYTES + (64 << 10);
 /// Largest number of connections on any machine: a third of the 3,900 descriptors that machines have for
 /// sockets. As many are left for the requests that run at endpoints, and for idle connections to
 /// endpoints, other routers and the store.
 const CONNECTION_LIMIT: usize = 1_300;
+/// Memory for a caller that does not read its response, besides its connection: the read buffer of the
+/// endpoint's connection and its socket, and the responses that wait to be written.
+const BLOCKED_BYTES: usize = 128 << 10;
 /// Smallest account: one body of 4 MB, and the reserve.
 const BODY_BYTES_MIN: usize = 8 << 20;
 
 /// Shares of a machine's memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryPlan {
-    /// Bytes for bodies.
+    /// Bytes for bodies of requests.
     pub body_bytes: usize,
+    /// Bytes for buffered responses.
+    pub response_bytes: usize,
     /// Connections of callers.
     pub connections: usize,
     /// Bytes for request heads that are not complete.
     pub head_bytes: usize,
+    /// Bytes for responses that are kept so that their requests can be retried.
+    pub kept_bytes: usize,
+    /// Callers that do not read their responses.
+    pub blocked_callers: usize,
 }
 
 impl MemoryPlan {
-    /// A quarter of the memory holds bodies, a third connections with the buffers of their sockets, and a
-    /// thirty-second heads.
+    /// A quarter of the memory holds bodies of requests, a third connections with the buffers of their
+    /// sockets, a thirty-second heads, and an eighth callers that do not read. An eighth holds buffered
+    /// responses in `run`, a sixteenth kept ones in `serve`.
     pub fn of_machine(memory_mb: Option<usize>) -> Self {
+        Self::with_connections(memory_mb, CONNECTION_BYTES)
+    }
+
+    /// Plan of an interface whose requests run in tasks of their own.
+    pub fn of_detached(memory_mb: Option<usize>) -> Self {
+        Self::with_connections(memory_mb, DETACHED_CONNECTION_BYTES)
+    }
+
+    fn with_connections(memory_mb: Option<usize>, connection_bytes: usize) -> Self {
         let memory = memory_mb
             .unwrap_or(DEFAULT_MEMORY_MB)
             .saturating_mul(1 << 20);
         Self {
             body_bytes: (memory / 4).max(BODY_BYTES_MIN),
-            connections: (memory / 3 / CONNECTION_BYTES).clamp(16, CONNECTION_LIMIT),
+            response_bytes: (memory / 8).max(BODY_BYTES_MIN),
+            connections: (memory / 3 / connection_bytes).clamp(16, CONNECTION_LIMIT),
             head_bytes: memory / 32,
+            kept_bytes: memory / 16,
+            blocked_callers: (memory / 8 / BLOCKED_BYTES).max(16),
         }
     }
 }
--- a/crates/core/tests/body_account.rs
+++ b/crates/core/tests/body_account.rs
@@ -21,6 +21,13 @@
             total <= memory_mb * (1 << 20) * 5 / 8,
             "{memory_mb}: {plan:?}"
         );
+        let buffered = plan.kept_bytes.max(plan.response_bytes);
+        assert!(plan.response_bytes - plan.response_bytes / 8 >= LARGE);
+        let responses = buffered + plan.blocked_callers * (128 << 10);
+        assert!(
+            total + responses <= memory_mb * (1 << 20) * 7 / 8,
+            "{memory_mb}: {plan:?}"
+        );
     }
     let default = MemoryPlan::of_machine(None);
     assert_eq!(default, MemoryPlan::of_machine(Some(256)));
--- a/crates/forward/src/buffered.rs
+++ b/crates/forward/src/buffered.rs
@@ -1,6 +1,15 @@
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Instant,
+};
 
-use {bytes::Bytes, futures_util::StreamExt, tokio::time::timeout_at};
+use {
+    bytes::Bytes, futures_util::StreamExt, jasminewall_core::body_account::MemoryPlan,
+    tokio::time::timeout_at,
+};
 
 use crate::{
     attempt::{AdmittedRequest, InFlightGuard, OpenResponse},
@@ -13,6 +22,54 @@
 /// request can be retried if the response is cut off.
 const BUFFER_LIMIT: usize = 64 << 10;
 
+/// Bytes of all responses that are kept until their callers have got them.
+#[derive(Debug)]
+pub(crate) struct KeptResponses {
+    bytes: AtomicUsize,
+    limit: AtomicUsize,
+}
+
+impl Default for KeptResponses {
+    fn default() -> Self {
+        Self {
+            bytes: AtomicUsize::new(0),
+            limit: AtomicUsize::new(MemoryPlan::of_machine(None).kept_bytes),
+        }
+    }
+}
+
+impl KeptResponses {
+    pub(crate) fn set_limit(&self, limit: usize) {
+        self.limit.store(limit, Ordering::Relaxed);
+    }
+}
+
+/// Bytes of one response in [`KeptResponses`], released on drop.
+struct KeptHold {
+    responses: Arc<KeptResponses>,
+    bytes: usize,
+}
+
+impl KeptHold {
+    /// Counts `bytes` more. Returns whether there is room for further ones.
+    fn add(&mut self, bytes: usize) -> bool {
+        self.bytes += bytes;
+        let before = self.responses.bytes.fetch_add(bytes, Ordering::Relaxed);
+        before + bytes < self.responses.limit.load(Ordering::Relaxed)
+    }
+
+    fn remove(&mut self, bytes: usize) {
+        self.bytes -= bytes;
+        self.responses.bytes.fetch_sub(bytes, Ordering::Relaxed);
+    }
+}
+
+impl Drop for KeptHold {
+    fn drop(&mut self) {
+        self.remove(self.bytes);
+    }
+}
+
 impl Forwarder {
     /// Relays a response that is not an event stream. Retries the request if the response is cut
     /// off while it is read into the buffer.
@@ -31,9 +88,13 @@
                 body,
                 ..
             } = open.response;
-            let read = timeout_at(read_deadline.into(), read_buffered(body)).await;
+            let hold = KeptHold {
+                responses: self.kept.clone(),
+                bytes: 0,
+            };
+            let read = timeout_at(read_deadline.into(), read_buffered(body, hold)).await;
             let reason = match read {
-                Ok(Ok((bytes, rest))) => {
+                Ok(Ok(read)) => {
                     if is_framed && status.is_success() {
                         self.record_completion(&admitted);
                     }
@@ -45,7 +106,7 @@
                         status,
                         headers,
                         length,
-                        body: buffered_body(bytes, rest, read_deadline, admitted, open.guard),
+                        body: buffered_body(read, read_deadline, admitted, open.guard),
                     });
                 }
                 Ok(Err(error)) => {
@@ -68,35 +129,49 @@
     }
 }
 
-/// Buffered parts of a body, and the unread rest if the body exceeds [`BUFFER_LIMIT`].
-type BufferedRead = (Vec<Bytes>, Option<EndpointBody>);
+/// Buffered parts of a body, and the unread rest of one that exceeds [`BUFFER_LIMIT`] or does not fit
+/// into [`KeptResponses`].
+struct BufferedRead {
+    parts: Vec<Bytes>,
+    hold: KeptHold,
+    rest: Option<EndpointBody>,
+}
 
-async fn read_buffered(mut body: EndpointBody) -> Result<BufferedRead, CallError> {
+async fn read_buffered(
+    mut body: EndpointBody,
+    mut hold: KeptHold,
+) -> Result<BufferedRead, CallError> {
     let mut parts = Vec::new();
-    let mut size = 0;
+    let mut rest = None;
     while let Some(part) = body.next().await {
         let part = part?;
-        size += part.len();
+        let has_room = hold.add(part.len());
         parts.push(part);
-        if size > BUFFER_LIMIT {
-            return Ok((parts, Some(body)));
+        if hold.bytes > BUFFER_LIMIT || !has_room {
+            rest = Some(body);
+            break;
         }
     }
-    Ok((parts, None))
+    Ok(BufferedRead { parts, hold, rest })
 }
 
-/// Returns a body of the buffered parts and, for a large response, the unread rest, which must end
-/// by `read_deadline`. The body holds the request's tokens and the in-flight guard until it ends.
+/// Returns a body of the buffered parts and the unread rest, which must end by `read_deadline`. The body
+/// holds the request's tokens and the in-flight guard until it ends.
 fn buffered_body(
-    parts: Vec<Bytes>,
-    rest: Option<EndpointBody>,
+    read: BufferedRead,
     read_deadline: Instant,
     admitted: AdmittedRequest,
     mut guard: InFlightGuard,
 ) -> ResponseBody {
+    let BufferedRead {
+        parts,
+        mut hold,
+        rest,
+    } = read;
     Box::pin(async_stream::stream! {
         let _admitted = admitted;
         for part in parts {
+            hold.remove(part.len());
             yield Ok(part);
         }
         let Some(mut rest) = rest else { return };
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -24,6 +24,7 @@
         AdmittedRequest, InFlightGuard, OpenResponse, is_usable, refusal_of, response_deadline,
     },
     balancer::{InFlight, LoadBalancer, RouterLoad},
+    buffered::KeptResponses,
     fleet::FleetView,
     manager::{BudgetManager, BudgetShortage},
     metric::ForwardMetrics,
@@ -74,6 +75,7 @@
     outbox: Mutex<FleetNotice>,
     pub(crate) notice_added: Notify,
     pub(crate) load_changed: Notify,
+    pub(crate) kept: Arc<KeptResponses>,
     pub(crate) metrics: ForwardMetrics,
 }
 
@@ -117,6 +119,7 @@
             outbox: Mutex::default(),
             notice_added: Notify::new(),
             load_changed: Notify::new(),
+            kept: Arc::default(),
             metrics,
         })
     }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -7,7 +7,7 @@
 };
 
 use {
-    jasminewall_core::{HolderId, VmId},
+    jasminewall_core::{HolderId, VmId, body_account::MemoryPlan},
     jasminewall_ports::RowPort,
     tokio::task::{AbortHandle, spawn},
 };
@@ -87,6 +87,8 @@
             ports.rows.clone(),
             setting.bounds,
         );
+        let plan = MemoryPlan::of_machine(setting.memory_mb);
+        forwarder.kept.set_limit(plan.kept_bytes);
         peer::serve(
             setting.peer_listen,
             view.clone(),
--- a/crates/jasminewall/tests/hostile_callers/target.rs
+++ b/crates/jasminewall/tests/hostile_callers/target.rs
@@ -2,10 +2,10 @@
 
 use std::{
     fs::File,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::atomic::{AtomicUsize, Ordering},
+    sync::atomic::{AtomicU32, AtomicUsize, Ordering},
     time::{Duration, Instant},
 };
 
@@ -179,8 +179,14 @@
     }
 }
 
+/// Returns a free port of a loopback address that no other test uses: connections that are still closing
+/// occupy ports of 127.0.0.1.
 async fn free_port() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await;
+    static SERIAL: AtomicU32 = AtomicU32::new(1);
+    let serial = SERIAL.fetch_add(1, Ordering::Relaxed);
+    let host = (std::process::id() << 8 | serial & 0xff) & 0x00ff_ffff;
+    let ip = Ipv4Addr::from(0x7f00_0000 | host);
+    let listener = TcpListener::bind((ip, 0)).await;
     let address = listener.and_then(|listener| listener.local_addr());
     address.expect("a free port")
 }
@@ -325,8 +331,11 @@
         ),
     );
     let standins = ChildProcess::spawn("standins", &standins, &folder.join("standins.log"));
+    let mut attempts = 0;
     while TcpStream::connect(platform).await.is_err() {
-        tokio::time::sleep(Duration::from_millis(100)).await;
+        attempts += 1;
+        assert!(attempts < START_ATTEMPTS, "the stand-ins do not start");
+        tokio::time::sleep(Duration::from_millis(200)).await;
     }
     let router = ChildProcess::spawn("run", &setting, &folder.join("router.log"));
     let target = RouterTarget {
--- a/crates/router/src/api.rs
+++ b/crates/router/src/api.rs
@@ -59,6 +59,9 @@
 /// refused without being parsed, and the bytes of a response that wait for a slow caller. With 256 KB,
 /// hundreds of connections exceeded the memory of a small machine.
 pub(crate) const READ_BUFFER_BYTES: usize = 64 << 10;
+/// Receive buffer of a connection to an endpoint: left to the system, it grows to megabytes for a
+/// response that its caller does not read.
+pub(crate) const RECEIVE_BUFFER_BYTES: usize = 8 << 10;
 /// Header count limit of hyper. The settings have a lower limit, whose refusals carry problem
 /// details.
 const MAX_PARSED_HEADERS: usize = 512;
@@ -80,9 +83,10 @@
 
 impl CallerApi {
     fn new(state: Arc<RouterState>) -> Self {
-        let memory = CallerMemory::new(state.setting.limits.memory_mb);
+        let memory = CallerMemory::detached(state.setting.limits.memory_mb);
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_recv_buffer_size(Some(RECEIVE_BUFFER_BYTES));
         Self {
             state,
             client: Client::builder(TokioExecutor::new())
