Bound the time in which a request body arrives

A caller could keep a body, its connection and its share of the memory for as long as it sent 1 KB in 15 s: 4 MB in 17 hours, or 72 KB in 18 minutes.

Cause: every kilobyte counts as progress, and serve has no other limit on a body. Evidence: in virtual time a body with 2,000 bytes a second does not expire after a minute.

A body ends 40 s after it began (408, the request has not run). The largest body takes 34 s if ten callers share the slowest link of the deployments, 10 Mbit/s, and no deadline there exceeds 15 s. run keeps its own limit of 30 s for the whole body.

The test dripping_bodies_end failed before and passes now.

--- a/crates/core/src/body_account.rs
+++ b/crates/core/src/body_account.rs
@@ -15,6 +15,8 @@
 const STALL_TIME: Duration = Duration::from_secs(1);
 /// Time without progress after which a body ends in any case: the default idle timeout of a connection.
 pub const PROGRESS_TIMEOUT: Duration = Duration::from_secs(15);
+/// Longest time for a body to arrive: 4 MB take 34 s if ten callers share a link of 10 Mbit/s.
+pub const ARRIVAL_TIMEOUT: Duration = Duration::from_secs(40);
 /// Bytes that count as progress; fewer within [`PROGRESS_TIMEOUT`] do not keep a body.
 const PROGRESS_BYTES: usize = 1 << 10;
 /// Memory of a machine whose settings do not name it: half of the largest in use.
@@ -104,6 +106,8 @@
 struct BodyState {
     bytes: usize,
     progress_at: Instant,
+    /// When the body ends in any case.
+    latest_at: Instant,
     /// Bytes since the last progress.
     received: usize,
     evictable: bool,
@@ -149,6 +153,7 @@
         let state = BodyState {
             bytes: 0,
             progress_at: now,
+            latest_at: now + ARRIVAL_TIMEOUT,
             received: 0,
             evictable: true,
             leaving: false,
@@ -234,10 +239,10 @@
         }
     }
 
-    /// When a body ends unless it makes progress.
+    /// When a body ends unless it makes progress, and at the latest.
     pub fn expires_at(&self, id: BodyId) -> Option<Instant> {
         let state = self.bodies.get(&id)?;
-        Some(state.progress_at + PROGRESS_TIMEOUT)
+        Some(state.latest_at.min(state.progress_at + PROGRESS_TIMEOUT))
     }
 
     /// Marks a body as complete: its request may run and must not be evicted. Returns `false` if it
--- a/crates/core/tests/body_account.rs
+++ b/crates/core/tests/body_account.rs
@@ -90,3 +90,19 @@
     account.record(id, 2_000, start + Duration::from_secs(14));
     assert!(account.expires_at(id) > Some(start + PROGRESS_TIMEOUT));
 }
+
+/// Guards against a body that is kept open for minutes with as many bytes as count as progress.
+#[test]
+fn dripping_bodies_end() {
+    let mut account = BodyAccount::new(8 << 20);
+    let start = Instant::now();
+    let id = account.open(start);
+    for second in 1..60 {
+        account.record(id, 2_000, start + Duration::from_secs(second));
+    }
+    let latest = start + Duration::from_secs(60);
+    assert!(
+        account.expires_at(id) <= Some(latest),
+        "a minute is enough for the largest body"
+    );
+}
