Keep memory_mb in the log line of the limits of callers

A reading of the whole change found that the line "limits of callers" had lost its field memory_mb, which operators may match; it is back.

--- a/crates/caller/src/memory.rs
+++ b/crates/caller/src/memory.rs
@@ -88,16 +88,16 @@
 impl CallerMemory {
     /// Creates the accounts and the slots for a machine with the given memory in MB.
     pub fn new(memory_mb: Option<usize>) -> Arc<Self> {
-        Self::with_plan(MemoryPlan::of_machine(memory_mb))
+        Self::with_plan(memory_mb, MemoryPlan::of_machine(memory_mb))
     }
 
     /// Like [`Self::new`], for requests that run in tasks of their own.
     pub fn detached(memory_mb: Option<usize>) -> Arc<Self> {
-        Self::with_plan(MemoryPlan::of_detached(memory_mb))
+        Self::with_plan(memory_mb, MemoryPlan::of_detached(memory_mb))
     }
 
-    fn with_plan(plan: MemoryPlan) -> Arc<Self> {
-        tracing::info!(?plan, "limits of callers");
+    fn with_plan(memory_mb: Option<usize>, plan: MemoryPlan) -> Arc<Self> {
+        tracing::info!(?memory_mb, ?plan, "limits of callers");
         Arc::new(Self {
             plan,
             requests: Mutex::new(BodyAccount::new(plan.body_bytes)),
