Log what a request is charged for, and count pauses of streams

The line "settled" told the sum only, so that input and output could not be compared with the events of "answered", and no line told a stream from a response that was relayed as a whole. Pauses were counted nowhere.

No decision changes.

--- a/crates/forward/src/buffered.rs
+++ b/crates/forward/src/buffered.rs
@@ -99,7 +99,7 @@
                         self.record_completion(&admitted);
                     }
                     let taken_ms = admitted.request.arrived.elapsed().as_millis();
-                    tracing::info!(request = %admitted.request.id, endpoint = %open.guard.endpoint(), %status, %taken_ms, "answered");
+                    tracing::info!(request = %admitted.request.id, endpoint = %open.guard.endpoint(), %status, %taken_ms, kind = "whole", "answered");
                     self.metrics
                         .answered(&admitted.route.name, status, admitted.request.arrived);
                     return Ok(ForwardResponse::Relayed {
--- a/crates/forward/src/manager.rs
+++ b/crates/forward/src/manager.rs
@@ -224,13 +224,14 @@
     fn drop(&mut self) {
         let input = self.input.as_ref();
         let input = input.filter(|(sends, _)| sends.may_have_run());
-        let charge = self.charge + input.map_or(0, |(_, tokens)| *tokens);
+        let input = input.map_or(0, |(_, tokens)| *tokens);
+        let charge = self.charge + input;
         let settled = self.manager.ledger().settle(&self.hold_id, charge);
         match settled {
             Ok(charge) => {
                 tracing::info!(
                     request = %self.request, customer = %charge.budget, charged = charge.tokens,
-                    "settled"
+                    input, output = self.charge, "settled"
                 );
                 self.manager.note_leftover(charge.budget);
             }
--- a/crates/forward/src/metric.rs
+++ b/crates/forward/src/metric.rs
@@ -21,6 +21,7 @@
     "token_asks",
     "endpoint_rejections",
     "endpoint_losses",
+    "stream_pauses",
     "restricted_requests",
     "cold_sends",
     "answer_ms",
@@ -139,6 +140,10 @@
         // Shows that nothing was restricted so far, rather than that nothing is counted.
         let _ = client.count("restricted_requests", 0);
         let _ = client.count("cold_sends", 0);
+        for outcome in ["moved", "waited", "lost"] {
+            let counter = client.count_with_tags("stream_pauses", 0);
+            let _ = counter.with_tag("outcome", outcome).try_send();
+        }
         Self {
             client: Arc::new(client),
             totals,
@@ -195,6 +200,13 @@
         let _ = self.client.count("endpoint_losses", 1);
     }
 
+    /// Counts a pause of a stream that was long enough to offer the rest to another endpoint, by how it
+    /// ended.
+    pub(crate) fn paused(&self, outcome: &str) {
+        let counter = self.client.count_with_tags("stream_pauses", 1);
+        let _ = counter.with_tag("outcome", outcome).try_send();
+    }
+
     /// Counts a request that evacuated failure domains or regions keep from some endpoints.
     pub(crate) fn restricted(&self) {
         let _ = self.client.count("restricted_requests", 1);
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -105,6 +105,7 @@
                             last_event = self.last_event_id,
                             "the stream is slow and cannot be moved; waiting for it"
                         );
+                        self.forwarder.metrics.paused("waited");
                         self.waits = true;
                     }
                     StreamStep::Stalled => {
@@ -112,8 +113,10 @@
                         let reason = "no event in time";
                         self.log_break(reason);
                         if self.resume_elsewhere().await {
+                            self.forwarder.metrics.paused("moved");
                             continue;
                         }
+                        self.forwarder.metrics.paused("lost");
                         yield Err(BrokenResponse(reason.into()));
                         return;
                     }
