--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -37,13 +37,17 @@
     pub(crate) suspects: Vec<CrashSuspect>,
     /// Number of times that the request was sent to an endpoint.
     pub(crate) sends: u32,
+    /// Number of sends after which it is not sent again, except in a later offer of a stream.
+    pub(crate) send_limit: u32,
+    /// Number of endpoints that rejected the request.
+    pub(crate) rejections: u32,
     /// Those of them that may have run.
     pub(crate) open_sends: Arc<SendCount>,
     /// Number of endpoints that could not be connected.
     pub(crate) failed_connects: u32,
-    /// Number of endpoints that ran the request or may have run it.
-    pub(crate) runs: u32,
-    /// Endpoints that are not tried again.
+    /// Endpoints that ran the request or may have run it.
+    pub(crate) runners: Vec<EndpointId>,
+    /// Endpoints that are not tried again, unless the rest of a stream is offered later.
     pub(crate) excluded: Vec<EndpointId>,
     /// Software version that began the stream; only its endpoints may continue it.
     pub(crate) begun_at: Option<SoftwareVersion>,
@@ -58,9 +62,22 @@
         begun_at.is_none_or(|software| *software == record.software)
     }
 
+    /// Number of endpoints that ran the request or may have run it.
+    pub(crate) fn runs(&self) -> u32 {
+        u32::try_from(self.runners.len()).unwrap_or(u32::MAX)
+    }
+
     pub(crate) fn may_run_again(&self) -> bool {
-        self.runs == 0
-            || (self.route.retry_policy.may_retry() && self.runs < self.route.max_attempts)
+        self.runners.is_empty()
+            || (self.route.retry_policy.may_retry() && self.runs() < self.route.max_attempts)
+    }
+
+    /// Prepares an offer of the rest of a stream to up to `sends` endpoints. Those that only rejected
+    /// the request or could not be connected may have room by now.
+    pub(crate) fn begin_offer(&mut self, sends: u32) {
+        self.excluded.clone_from(&self.runners);
+        self.failed_connects = 0;
+        self.send_limit = self.sends + sends;
     }
 }
 
@@ -127,8 +144,8 @@
 /// still be tried.
 pub(crate) fn response_deadline(admitted: &AdmittedRequest) -> Instant {
     let latest = admitted.deadline + RESPONSE_GRACE;
-    let may_retry =
-        admitted.route.retry_policy.may_retry() && admitted.runs + 1 < admitted.route.max_attempts;
+    let may_retry = admitted.route.retry_policy.may_retry()
+        && admitted.runs() + 1 < admitted.route.max_attempts;
     if !may_retry {
         return latest;
     }
@@ -157,7 +174,7 @@
         | RefusalKind::SoftwareGone
         | RefusalKind::DeadlinePassed
         | RefusalKind::RateLimited(_)
-            if admitted.runs > 0 =>
+            if admitted.runs() > 0 =>
         {
             RefusalKind::Lost
         }
--- a/crates/forward/src/balancer.rs
+++ b/crates/forward/src/balancer.rs
@@ -1,5 +1,9 @@
 use std::{
     collections::{HashMap, HashSet},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -85,9 +89,20 @@
     predicted_ms: f64,
     sent: Instant,
     responded: bool,
+    progress: Arc<EndpointProgress>,
 }
 
 impl InFlight {
+    /// Records that the endpoint wrote an event.
+    pub(crate) fn record_progress(&self, now: Instant) {
+        self.progress.record(now);
+    }
+
+    /// When the endpoint last wrote an event of any stream of this router, to the ms.
+    pub(crate) fn last_progress(&self) -> Option<Instant> {
+        self.progress.last()
+    }
+
     /// Endpoint that the request was sent to.
     pub fn endpoint(&self) -> &EndpointId {
         &self.endpoint
@@ -99,6 +114,34 @@
     }
 }
 
+/// When an endpoint last wrote an event. Its requests share it, since they record each event.
+#[derive(Debug)]
+struct EndpointProgress {
+    created: Instant,
+    /// Time since `created` in ms; 0 before the first event.
+    last_ms: AtomicU64,
+}
+
+impl EndpointProgress {
+    fn new(now: Instant) -> Arc<Self> {
+        Arc::new(Self {
+            created: now,
+            last_ms: AtomicU64::new(0),
+        })
+    }
+
+    fn record(&self, now: Instant) {
+        let age_ms = now.saturating_duration_since(self.created).as_millis();
+        let age_ms = u64::try_from(age_ms).unwrap_or(u64::MAX);
+        self.last_ms.fetch_max(age_ms, Ordering::Relaxed);
+    }
+
+    fn last(&self) -> Option<Instant> {
+        let last_ms = self.last_ms.load(Ordering::Relaxed);
+        (last_ms > 0).then(|| self.created + Duration::from_millis(last_ms))
+    }
+}
+
 /// Load that one router puts on an endpoint, as sent to other routers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouterLoad {
@@ -148,6 +191,7 @@
     blocked_until: Option<Instant>,
     failed_connects: u32,
     prefixes: HashMap<u64, Instant>,
+    progress: Arc<EndpointProgress>,
 }
 
 /// Moving average that decays to its baseline while nothing is observed.
@@ -200,6 +244,7 @@
             blocked_until: None,
             failed_connects: 0,
             prefixes: HashMap::new(),
+            progress: EndpointProgress::new(now),
         }
     }
 
@@ -504,6 +549,7 @@
         let only_unread = stats.known_load().1 == 0;
         stats.running += 1;
         stats.unread_tokens += placement.uncached;
+        let progress = stats.progress.clone();
         let predicted_ms = match prompt {
             Some(prompt) => {
                 stats.remember_prefixes(&prefix_chain(&prompt.parts), now);
@@ -519,6 +565,7 @@
             predicted_ms,
             sent: now,
             responded: false,
+            progress,
         }
     }
 
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -29,6 +29,7 @@
     manager::{BudgetManager, BudgetShortage},
     metric::ForwardMetrics,
     notice::FleetNotice,
+    offer::OfferGate,
     origin::{StreamOrigin, StreamOrigins},
     placement::PlacementQuery,
     port::{CallError, EndpointCall, EndpointPort, EndpointResponse, PortState, SendCount},
@@ -65,6 +66,7 @@
     endpoints: Arc<dyn EndpointPort>,
     balancer: Mutex<LoadBalancer>,
     retry_budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
+    offer_gates: Mutex<HashMap<ServiceId, OfferGate>>,
     bounds: Mutex<FleetBounds>,
     routers: AtomicUsize,
     stop: Mutex<Option<StopWindow>>,
@@ -110,6 +112,7 @@
             endpoints,
             balancer: Mutex::new(balancer),
             retry_budgets: Mutex::default(),
+            offer_gates: Mutex::default(),
             bounds: Mutex::new(bounds),
             routers: AtomicUsize::new(1),
             stop: Mutex::default(),
@@ -330,9 +333,11 @@
             priority: engine.map(|_| priority.unwrap_or(route.priority).min(9)),
             suspects,
             sends: 0,
+            send_limit: SEND_LIMIT,
+            rejections: 0,
             open_sends,
             failed_connects: 0,
-            runs: 0,
+            runners: Vec::new(),
             excluded: Vec::new(),
             begun_at: None,
             trial: None,
@@ -406,11 +411,12 @@
                         self.balancer().block(&endpoint, Instant::now());
                     }
                     drop(guard);
+                    admitted.rejections += 1;
                     self.metrics.rejected();
                     self.give_up_or_retry(admitted, endpoint, RefusalKind::NoEndpoint)?;
                 }
                 Ok(Ok(response)) if is_usable(&response) => {
-                    admitted.runs += 1;
+                    admitted.runners.push(endpoint.clone());
                     let failed = response.status.is_server_error();
                     if !admitted.route.retry_policy.is_stream() || failed {
                         self.record_response(&mut guard, &response);
@@ -447,7 +453,7 @@
                     tracing::info!(request = %id, %endpoint, reason, sends = admitted.sends, "the outcome is unknown");
                     guard.mark_failed();
                     drop(guard);
-                    admitted.runs += 1;
+                    admitted.runners.push(endpoint.clone());
                     self.metrics.lost();
                     self.give_up_or_retry(admitted, endpoint, kind)?;
                 }
@@ -547,7 +553,7 @@
         let Some(block) = blocks.first() else {
             return Ok(());
         };
-        if blocks.len() == 1 && admitted.runs == 0 {
+        if blocks.len() == 1 && admitted.runners.is_empty() {
             if admitted.trial.is_none() {
                 admitted.trial = self.claim_trial(admitted, block).await;
             }
@@ -733,7 +739,7 @@
 
     /// Takes a retry from the budget of the service; `false` if none is left.
     pub(crate) fn take_retry(&self, admitted: &AdmittedRequest) -> bool {
-        if admitted.sends >= SEND_LIMIT {
+        if admitted.sends >= admitted.send_limit {
             return false;
         }
         let now = Instant::now();
@@ -760,6 +766,32 @@
         records.any(|record| admitted.fits(record) && !admitted.excluded.contains(&record.id))
     }
 
+    /// Permits an offer of the rest of a stream of a service, or returns when to ask again.
+    pub(crate) fn permit_offer(&self, service: &ServiceId, now: Instant) -> Result<(), Instant> {
+        let mut gates = self.offer_gates();
+        gates.entry(service.clone()).or_default().permit(now)
+    }
+
+    /// Records that no endpoint accepted an offer that was made at `offered`.
+    pub(crate) fn reject_offer(&self, service: &ServiceId, offered: Instant, now: Instant) {
+        let mut gates = self.offer_gates();
+        let gate = gates.entry(service.clone()).or_default();
+        gate.record_rejection(offered, now);
+    }
+
+    /// Records that an endpoint accepted an offer.
+    pub(crate) fn accept_offer(&self, service: &ServiceId) {
+        if let Some(gate) = self.offer_gates().get_mut(service) {
+            gate.record_acceptance();
+        }
+    }
+
+    fn offer_gates(&self) -> MutexGuard<'_, HashMap<ServiceId, OfferGate>> {
+        self.offer_gates
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Drops the load statistics of endpoints that are no longer registered.
     pub fn prune_endpoint_stats(&self) {
         let records = self.view.live_endpoints(Instant::now());
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -32,6 +32,7 @@
 mod metric;
 mod node;
 pub mod notice;
+pub mod offer;
 pub mod origin;
 pub mod owner;
 pub mod peer;
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -1,86 +1,178 @@
 use std::{
+    future::pending,
+    pin::{Pin, pin},
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use {bytes::Bytes, futures_util::StreamExt, tokio::time::timeout_at};
+use {
+    bytes::Bytes,
+    futures_util::StreamExt,
+    tokio::time::{sleep_until, timeout, timeout_at},
+};
 
 use crate::{
     attempt::{AdmittedRequest, InFlightGuard, OpenResponse},
     forwarder::Forwarder,
+    offer::PauseRule,
     port::EndpointBody,
     record::RetryPolicy,
-    request::{BrokenResponse, ForwardResponse, ResponseBody},
+    request::{BrokenResponse, ForwardResponse, RefusalKind, ResponseBody},
     sse::{EventSplitter, StreamEvent},
 };
 
 /// Time after the deadline within which an endpoint may still end its stream.
 const END_GRACE: Duration = Duration::from_millis(100);
-/// Longest time without an event before another endpoint continues a resumable stream. Callers give
-/// up after two seconds without an event.
-const GAP_LIMIT: Duration = Duration::from_millis(1_200);
+/// Time after which an offer that could not be made is tried again.
+const OFFER_PAUSE: Duration = Duration::from_millis(200);
+/// Largest number of endpoints that get one offer of a stream that broke off, and of one that pauses or
+/// was rejected: the loads that routers know are up to a second old, so a few attempts are worth it
+/// once, but under full load each one is a retry for nothing.
+const BREAK_SENDS: u32 = 3;
+const PAUSE_SENDS: u32 = 1;
+/// Longest time for which two endpoints work on one stream after the second has answered. The rules
+/// allow 400 ms.
+const OVERLAP_LIMIT: Duration = Duration::from_millis(300);
+/// Time since the last event of any stream within which an endpoint counts as working.
+const LIFE_SIGN_AGE: Duration = Duration::from_millis(600);
 
 /// Time for which an endpoint writes events before its crash has another cause than the request. An
 /// engine crashes within a few steps after the first event, of which a slow one takes several 100 ms.
 const PROOF_TIME: Duration = Duration::from_secs(2);
 
-/// Relays the events of a stream to the caller. If the endpoint fails and the route allows it, the
-/// relay continues the stream at another endpoint.
+/// Relays the events of a stream to the caller. If the endpoint fails or pauses and the route allows
+/// it, another endpoint continues the stream.
 pub(crate) struct StreamRelay {
     forwarder: Arc<Forwarder>,
     admitted: AdmittedRequest,
-    guard: InFlightGuard,
-    body: EndpointBody,
-    splitter: EventSplitter,
+    /// Response that is relayed; `None` after it broke off.
+    run: Option<Box<StreamRun>>,
+    /// Why the last response broke off.
+    break_reason: String,
     last_event_id: Option<u64>,
     event_count: u64,
     last_event_at: Instant,
     longest_gap: Duration,
+    /// Whether other requests with the same prompt parts were told that they crash no endpoint.
+    is_proof_recorded: bool,
+    pause_rule: PauseRule,
+    /// Earliest time of the next offer to another endpoint.
+    next_offer_at: Instant,
+    /// Number of offers since the last event or break.
+    offers: u32,
+    /// Set when no further offer is made.
+    offers_ended: bool,
+}
+
+/// One endpoint's response to a stream.
+struct StreamRun {
+    guard: InFlightGuard,
+    body: EndpointBody,
+    splitter: EventSplitter,
     /// See [`EndpointResponse::is_framed`](crate::port::EndpointResponse::is_framed).
     is_framed: bool,
     /// When enough of the stream has arrived that its endpoint does not crash with it.
     proven_at: Option<Instant>,
-    /// Whether other requests with the same prompt parts were told so.
-    is_proof_recorded: bool,
-    /// Set when no other endpoint may continue a slow stream: it then has until its deadline.
-    waits: bool,
+    /// Input that was read before the response became the relayed one.
+    pending: Option<RunInput>,
 }
 
-/// Result of reading from the current endpoint.
-enum StreamStep {
-    Event(Bytes),
+/// Input from the endpoint of a [`StreamRun`].
+enum RunInput {
+    Event(StreamEvent),
     Complete,
-    /// The endpoint sent no event for [`GAP_LIMIT`].
-    Stalled,
-    /// The endpoint sent no event before the deadline, or sent an event that is too large.
-    Failed(String),
+    /// The endpoint sent an event that is too large.
+    Oversized,
     /// The connection failed before the response was complete, or ended within an event.
     Closed(String),
 }
 
+/// What the relay does next.
+enum StreamStep {
+    Input(RunInput),
+    /// The rest of the stream is to be offered to another endpoint.
+    OfferDue,
+    /// The endpoint sent no event before the deadline.
+    Expired,
+    /// The response broke off, and no other endpoint may continue it.
+    Broken,
+}
+
+/// Result of an offer, or of the running response while the offer was open.
+enum OfferStep {
+    Accepted(Box<StreamRun>),
+    Refused(RefusalKind),
+    Input(RunInput),
+    Expired,
+}
+
+impl StreamRun {
+    fn new(open: OpenResponse) -> Self {
+        Self {
+            guard: open.guard,
+            body: open.response.body,
+            splitter: EventSplitter::default(),
+            is_framed: open.response.is_framed,
+            proven_at: None,
+            pending: None,
+        }
+    }
+
+    /// Reads the next event. Nothing is lost if the future is dropped.
+    async fn next(&mut self) -> RunInput {
+        if let Some(input) = self.pending.take() {
+            return input;
+        }
+        loop {
+            if let Some(event) = self.splitter.next_event() {
+                return RunInput::Event(event);
+            }
+            match self.body.next().await {
+                None if self.splitter.has_partial() => {
+                    return RunInput::Closed("the stream ended within an event".into());
+                }
+                None => return RunInput::Complete,
+                Some(Err(error)) => return RunInput::Closed(error.to_string()),
+                Some(Ok(bytes)) => {
+                    if !self.splitter.push(&bytes) {
+                        return RunInput::Oversized;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether the endpoint has written events until `last_event_at`, for long enough that the request
+    /// does not crash it.
+    fn is_proven(&self, last_event_at: Instant) -> bool {
+        self.proven_at.is_some_and(|at| last_event_at >= at)
+    }
+}
+
 impl StreamRelay {
     /// Starts the response to the caller.
     pub(crate) fn start(
         forwarder: Arc<Forwarder>,
         admitted: AdmittedRequest,
-        open: OpenResponse,
+        mut open: OpenResponse,
     ) -> ForwardResponse {
         let status = open.response.status;
-        let headers = open.response.headers;
+        let headers = std::mem::take(&mut open.response.headers);
+        let now = Instant::now();
         let relay = Self {
             forwarder,
+            pause_rule: PauseRule::of(&admitted.route),
             admitted,
-            guard: open.guard,
-            body: open.response.body,
-            splitter: EventSplitter::default(),
+            run: Some(Box::new(StreamRun::new(open))),
+            break_reason: String::new(),
             last_event_id: None,
             event_count: 0,
-            last_event_at: Instant::now(),
+            last_event_at: now,
             longest_gap: Duration::ZERO,
-            is_framed: open.response.is_framed,
-            proven_at: None,
             is_proof_recorded: false,
-            waits: false,
+            next_offer_at: now,
+            offers: 0,
+            offers_ended: false,
         };
         ForwardResponse::Relayed {
             status,
@@ -93,39 +185,76 @@
     fn into_body(mut self) -> ResponseBody {
         Box::pin(async_stream::stream! {
             loop {
-                match self.step().await {
-                    StreamStep::Event(bytes) => yield Ok(bytes),
-                    StreamStep::Complete => {
-                        self.record_end();
-                        return;
+                let mut step = self.step().await;
+                if let StreamStep::OfferDue = step {
+                    if !self.begin_offer() {
+                        continue;
                     }
-                    StreamStep::Stalled if !self.take_move() => {
-                        tracing::info!(
-                            request = %self.admitted.request.id, endpoint = %self.guard.endpoint(),
-                            last_event = self.last_event_id,
-                            "the stream is slow and cannot be moved; waiting for it"
-                        );
-                        self.forwarder.metrics.paused("waited");
-                        self.waits = true;
+                    let offered = Instant::now();
+                    let latest_end = self.latest_end();
+                    let rejections = self.admitted.rejections;
+                    let mut broken = None;
+                    let outcome = {
+                        let Self { forwarder, admitted, run, last_event_id, .. } = &mut self;
+                        let is_paused = run.is_some();
+                        let mut offer = pin!(forwarder.offer_stream(admitted, *last_event_id, is_paused));
+                        loop {
+                            match offer_step(offer.as_mut(), run.as_mut(), latest_end).await {
+                                // The caller has the event already.
+                                OfferStep::Input(RunInput::Event(event))
+                                    if is_repeated(&event, *last_event_id) => {}
+                                // Comments are no progress, but the caller gets them.
+                                OfferStep::Input(RunInput::Event(event)) if !event.has_data => {
+                                    yield Ok(event.bytes);
+                                }
+                                OfferStep::Input(input @ (RunInput::Closed(_) | RunInput::Oversized)) => {
+                                    // The offer is now all that is left.
+                                    broken = run.take().map(|run| (run, input));
+                                }
+                                outcome => break outcome,
+                            }
+                        }
+                    };
+                    let is_rejected = self.admitted.rejections > rejections;
+                    if let Some((run, input)) = broken {
+                        self.record_break(run, input).await;
                     }
-                    StreamStep::Stalled => {
-                        self.guard.mark_failed();
-                        let reason = "no event in time";
-                        self.log_break(reason);
-                        if self.resume_elsewhere().await {
-                            self.forwarder.metrics.paused("moved");
+                    match outcome {
+                        OfferStep::Accepted(run) => {
+                            self.continue_at(run);
+                            continue;
+                        }
+                        OfferStep::Refused(kind) => {
+                            self.postpone_offer(kind, is_rejected, offered);
                             continue;
                         }
-                        self.forwarder.metrics.paused("lost");
-                        yield Err(BrokenResponse(reason.into()));
+                        OfferStep::Input(input) => step = StreamStep::Input(input),
+                        OfferStep::Expired => step = StreamStep::Expired,
+                    }
+                }
+                match step {
+                    StreamStep::Input(RunInput::Event(event)) => {
+                        if let Some(bytes) = self.accept_event(event) {
+                            yield Ok(bytes);
+                        }
+                    }
+                    StreamStep::Input(RunInput::Complete) => {
+                        self.record_end();
                         return;
                     }
-                    step @ (StreamStep::Failed(_) | StreamStep::Closed(_)) => {
-                        let reason = self.record_failure(step).await;
-                        if self.resume(&reason).await {
-                            continue;
+                    StreamStep::Input(input) => {
+                        if let Some(run) = self.run.take() {
+                            self.record_break(run, input).await;
                         }
-                        yield Err(BrokenResponse(reason.into()));
+                    }
+                    StreamStep::OfferDue => {}
+                    StreamStep::Expired => {
+                        self.record_expiry();
+                        yield Err(BrokenResponse(self.break_reason.as_str().into()));
+                        return;
+                    }
+                    StreamStep::Broken => {
+                        yield Err(BrokenResponse(self.break_reason.as_str().into()));
                         return;
                     }
                 }
@@ -133,39 +262,125 @@
         })
     }
 
+    /// Waits for the next event, or until the stream is offered to another endpoint.
     async fn step(&mut self) -> StreamStep {
-        loop {
-            if let Some(event) = self.splitter.next_event() {
-                if let Some(bytes) = self.accept_event(event) {
-                    return StreamStep::Event(bytes);
-                }
-                continue;
-            }
-            let read_deadline = self.read_deadline();
-            match timeout_at(read_deadline.into(), self.body.next()).await {
-                Err(_) if Instant::now() < self.latest_end() => return StreamStep::Stalled,
-                Err(_) => return StreamStep::Failed("no event before the deadline".into()),
-                Ok(None) if self.splitter.has_partial() => {
-                    return StreamStep::Closed("the stream ended within an event".into());
-                }
-                Ok(None) => return StreamStep::Complete,
-                Ok(Some(Err(error))) => return StreamStep::Closed(error.to_string()),
-                Ok(Some(Ok(bytes))) => {
-                    if !self.splitter.push(&bytes) {
-                        return StreamStep::Failed("an event is too large".into());
-                    }
-                }
+        let latest_end = self.latest_end();
+        let offer_at = self.offer_at();
+        let Some(run) = &mut self.run else {
+            let Some(at) = offer_at else {
+                return StreamStep::Broken;
+            };
+            sleep_until(at.into()).await;
+            return StreamStep::OfferDue;
+        };
+        // Only events move the time of an offer: an endpoint that sends single bytes or comments now and
+        // then is as silent as one that sends nothing.
+        let wait_until = offer_at.map_or(latest_end, |at| at.min(latest_end));
+        match timeout_at(wait_until.into(), run.next()).await {
+            Ok(input) => StreamStep::Input(input),
+            Err(_) if Instant::now() < latest_end => StreamStep::OfferDue,
+            Err(_) => StreamStep::Expired,
+        }
+    }
+
+    /// When the rest of the stream is offered to another endpoint; `None` if that is not allowed, or
+    /// not possible in time.
+    fn offer_at(&self) -> Option<Instant> {
+        // If the events have no ids, the next endpoint cannot tell which ones the caller has.
+        let has_position = self.event_count == 0 || self.last_event_id.is_some();
+        if !self.route_resumes()
+            || !has_position
+            || self.offers_ended
+            || !self.admitted.may_run_again()
+        {
+            return None;
+        }
+        if self.run.is_some() {
+            // Before its first event, a request may still wait at its endpoint.
+            self.last_event_id?;
+            let at = self.last_event_at + self.pause_rule.offer_delay;
+            return Some(at.max(self.next_offer_at));
+        }
+        let at = self.next_offer_at;
+        let leaves_at = self.last_event_at + self.pause_rule.patience;
+        let is_timely = at < self.admitted.deadline && (self.offers == 0 || at < leaves_at);
+        is_timely.then_some(at)
+    }
+
+    /// Whether an offer may be made now; otherwise sets the time of the next one.
+    fn begin_offer(&mut self) -> bool {
+        let now = Instant::now();
+        let is_first = self.offers == 0;
+        self.offers += 1;
+        if is_first && self.run.is_some() {
+            tracing::info!(
+                request = %self.admitted.request.id, endpoint = self.endpoint_id(),
+                events = self.event_count, last_event = self.last_event_id,
+                is_working = self.is_endpoint_working(), "the stream pauses"
+            );
+        }
+        // A stream that broke off is offered at once: most endpoints have room after a crash.
+        let is_break = is_first && self.run.is_none();
+        if !is_break && let Err(at) = self.forwarder.permit_offer(&self.admitted.service, now) {
+            self.next_offer_at = at;
+            return false;
+        }
+        self.admitted
+            .begin_offer(if is_break { BREAK_SENDS } else { PAUSE_SENDS });
+        let may_offer = self.forwarder.has_untried_endpoint(&self.admitted)
+            && self.forwarder.take_resume(&self.admitted);
+        if !may_offer {
+            self.next_offer_at = now + OFFER_PAUSE;
+            // The caller may take up a broken stream itself, which costs the fleet no retry.
+            self.offers_ended = is_break;
+        }
+        may_offer
+    }
+
+    /// Continues with the response of another endpoint, which has begun. Ends the previous one.
+    fn continue_at(&mut self, run: Box<StreamRun>) {
+        tracing::info!(
+            request = %self.admitted.request.id, endpoint = %run.guard.endpoint(),
+            last_event = self.last_event_id, "the stream goes on"
+        );
+        self.forwarder.accept_offer(&self.admitted.service);
+        let is_working = self.is_endpoint_working();
+        if let Some(previous) = &mut self.run {
+            self.forwarder.metrics.paused("moved");
+            // An endpoint that only preempted this stream is sound.
+            if !is_working {
+                previous.guard.mark_failed();
+                self.forwarder.metrics.lost();
             }
         }
+        self.run = Some(run);
+        self.last_event_at = Instant::now();
+        self.offers = 0;
+    }
+
+    /// Sets the time of the next offer after one that no endpoint accepted.
+    fn postpone_offer(&mut self, kind: RefusalKind, is_rejected: bool, offered: Instant) {
+        tracing::info!(
+            request = %self.admitted.request.id, refusal = kind.code(), is_rejected,
+            has_response = self.run.is_some(), "the stream could not be resumed"
+        );
+        let now = Instant::now();
+        self.next_offer_at = now + OFFER_PAUSE;
+        self.offers_ended = kind == RefusalKind::CrashesEndpoints;
+        if is_rejected {
+            self.forwarder
+                .reject_offer(&self.admitted.service, offered, now);
+        }
     }
 
     /// Counts and charges an event; `None` if the caller already has it.
     fn accept_event(&mut self, event: StreamEvent) -> Option<Bytes> {
+        let run = self.run.as_mut()?;
         if self.event_count == 0 {
-            self.guard.mark_responded();
+            run.guard.mark_responded();
             let taken_ms = self.admitted.request.arrived.elapsed().as_millis();
             tracing::info!(
-                request = %self.admitted.request.id, endpoint = %self.guard.endpoint(), %taken_ms,
+                request = %self.admitted.request.id, endpoint = %run.guard.endpoint(), %taken_ms,
                 "first event"
             );
             let arrived = self.admitted.request.arrived;
@@ -173,9 +388,7 @@
                 .metrics
                 .first_event(&self.admitted.route.name, arrived);
         }
-        if let (Some(id), Some(previous)) = (event.id, self.last_event_id)
-            && id <= previous
-        {
+        if is_repeated(&event, self.last_event_id) {
             return None;
         }
         if !event.has_data {
@@ -183,18 +396,24 @@
             return Some(event.bytes);
         }
         let now = Instant::now();
+        run.guard.in_flight.record_progress(now);
+        run.proven_at.get_or_insert(now + PROOF_TIME);
+        let is_proven = run.is_proven(now);
         if self.event_count > 0 {
             let gap = now.saturating_duration_since(self.last_event_at);
             self.longest_gap = self.longest_gap.max(gap);
         }
-        self.proven_at.get_or_insert(now + PROOF_TIME);
+        if self.offers > 0 {
+            self.forwarder.metrics.paused("waited");
+            self.offers = 0;
+        }
         if self.admitted.begun_at.is_none() {
             self.record_start();
         }
         self.last_event_at = now;
         self.last_event_id = event.id.or(self.last_event_id);
         self.event_count += 1;
-        if self.is_proven() {
+        if is_proven {
             self.record_proof();
         }
         let tokens = self.admitted.event_tokens;
@@ -206,7 +425,8 @@
 
     /// Records which software version brings the first event.
     fn record_start(&mut self) {
-        let software = self.guard.software.clone();
+        let Some(run) = &self.run else { return };
+        let software = run.guard.software.clone();
         self.admitted.begun_at = Some(software.clone());
         if self.route_resumes() {
             let (request, service) = (&self.admitted.request, &self.admitted.service);
@@ -216,110 +436,62 @@
         }
     }
 
-    /// When the next bytes must arrive. Only events move it: an endpoint that sends single bytes or
-    /// comments now and then is as stalled as a silent one.
-    fn read_deadline(&self) -> Instant {
-        let latest = self.latest_end();
-        self.gap_ends_at().map_or(latest, |at| latest.min(at))
-    }
-
     fn latest_end(&self) -> Instant {
         self.admitted.deadline + END_GRACE
     }
 
-    /// When the pause since the last event is so long that another endpoint continues the stream.
-    fn gap_ends_at(&self) -> Option<Instant> {
-        let may_move = self.route_resumes() && self.last_event_id.is_some() && !self.waits;
-        may_move.then(|| self.last_event_at + GAP_LIMIT)
-    }
-
     fn route_resumes(&self) -> bool {
         self.admitted.route.retry_policy == RetryPolicy::ResumableStream
     }
 
-    /// Records that the endpoint failed, and returns the reason.
-    async fn record_failure(&mut self, step: StreamStep) -> String {
-        match step {
-            StreamStep::Closed(reason) if self.is_proven() => {
-                self.guard.mark_failed();
-                reason
-            }
-            StreamStep::Closed(reason) => {
-                self.guard.check_crash(&self.admitted).await;
-                reason
-            }
-            StreamStep::Failed(reason) => {
-                self.guard.mark_failed();
-                reason
-            }
-            StreamStep::Event(_) | StreamStep::Complete | StreamStep::Stalled => String::new(),
+    /// Whether other streams of the endpoint go on while this one pauses.
+    fn is_endpoint_working(&self) -> bool {
+        let progress = self.run.as_ref();
+        let progress = progress.and_then(|run| run.guard.in_flight.last_progress());
+        progress.is_some_and(|at| at > self.last_event_at && at.elapsed() < LIFE_SIGN_AGE)
+    }
+
+    fn endpoint_id(&self) -> &str {
+        let run = self.run.as_ref();
+        run.map_or("", |run| run.guard.endpoint().as_str())
+    }
+
+    /// Records that the response of an endpoint broke off, and finds out whether the endpoint crashed.
+    async fn record_break(&mut self, mut run: Box<StreamRun>, input: RunInput) {
+        let (reason, is_closed) = match input {
+            RunInput::Closed(reason) => (reason, true),
+            _ => ("an event is too large".to_owned(), false),
+        };
+        self.log_break(&run.guard, &reason);
+        self.break_reason = reason;
+        if is_closed && !run.is_proven(self.last_event_at) {
+            run.guard.check_crash(&self.admitted).await;
+        } else {
+            run.guard.mark_failed();
         }
+        self.next_offer_at = Instant::now();
+        self.offers = 0;
     }
 
-    /// Whether another endpoint may continue the stream. The current one is left only then.
-    fn take_move(&self) -> bool {
-        self.forwarder.has_untried_endpoint(&self.admitted)
-            && self.forwarder.take_resume(&self.admitted)
+    /// Records that the endpoint has not ended the stream before the deadline.
+    fn record_expiry(&mut self) {
+        self.break_reason = "no event before the deadline".to_owned();
+        if let Some(mut run) = self.run.take() {
+            run.guard.mark_failed();
+            self.log_break(&run.guard, &self.break_reason);
+        }
     }
 
-    fn log_break(&self, reason: &str) {
+    fn log_break(&self, guard: &InFlightGuard, reason: &str) {
         tracing::info!(
-            request = %self.admitted.request.id, endpoint = %self.guard.endpoint(),
+            request = %self.admitted.request.id, endpoint = %guard.endpoint(),
             events = self.event_count, last_event = self.last_event_id, reason,
             "the stream broke off"
         );
         self.forwarder.metrics.lost();
-    }
-
-    /// Continues the stream at another endpoint; `false` if that is not possible.
-    async fn resume(&mut self, reason: &str) -> bool {
-        self.log_break(reason);
-        let expired = Instant::now() >= self.admitted.deadline;
-        // If the events have no ids, the next endpoint cannot tell which ones the caller has.
-        let has_position = self.event_count == 0 || self.last_event_id.is_some();
-        if expired
-            || !has_position
-            || !self.route_resumes()
-            || !self.forwarder.take_resume(&self.admitted)
-        {
-            return false;
+        if self.offers > 0 {
+            self.forwarder.metrics.paused("lost");
         }
-        self.resume_elsewhere().await
-    }
-
-    /// Sends the request to another endpoint, from the event after the last one.
-    async fn resume_elsewhere(&mut self) -> bool {
-        let request = self.admitted.request.id.clone();
-        self.body = Box::pin(futures_util::stream::empty());
-        match self
-            .forwarder
-            .send(&mut self.admitted, self.last_event_id)
-            .await
-        {
-            Ok(open) if open.response.status.is_success() => {
-                tracing::info!(%request, endpoint = %open.guard.endpoint(), last_event = self.last_event_id, "the stream goes on");
-                self.guard = open.guard;
-                self.is_framed = open.response.is_framed;
-                self.body = open.response.body;
-                self.splitter = EventSplitter::default();
-                self.last_event_at = Instant::now();
-                self.proven_at = None;
-                true
-            }
-            Ok(open) => {
-                tracing::info!(%request, status = %open.response.status, "the stream could not be resumed");
-                false
-            }
-            Err(kind) => {
-                tracing::info!(%request, refusal = kind.code(), "the stream could not be resumed");
-                false
-            }
-        }
-    }
-
-    /// Whether the endpoint has written events for long enough that the request does not crash it.
-    fn is_proven(&self) -> bool {
-        self.proven_at.is_some_and(|at| self.last_event_at >= at)
     }
 
     /// Records that the request does not crash endpoints, as soon as that is known: a long stream would
@@ -331,13 +503,14 @@
     }
 
     fn record_end(&mut self) {
-        if self.is_framed || self.is_proven() {
+        let Some(run) = &self.run else { return };
+        if run.is_framed || run.is_proven(self.last_event_at) {
             self.record_proof();
         }
         let arrived = self.admitted.request.arrived;
         let taken_ms = arrived.elapsed().as_millis();
         tracing::info!(
-            request = %self.admitted.request.id, endpoint = %self.guard.endpoint(),
+            request = %self.admitted.request.id, endpoint = self.endpoint_id(),
             events = self.event_count, longest_gap_ms = self.longest_gap.as_millis() as u64, %taken_ms,
             "answered"
         );
@@ -346,3 +519,76 @@
             .answered(&self.admitted.route.name, http::StatusCode::OK, arrived);
     }
 }
+
+impl Forwarder {
+    /// Offers the rest of a stream to other endpoints. With `is_paused`, the offer counts as accepted
+    /// only when the new endpoint has begun, since the previous one may go on at any moment.
+    async fn offer_stream(
+        self: &Arc<Self>,
+        admitted: &mut AdmittedRequest,
+        last_event_id: Option<u64>,
+        is_paused: bool,
+    ) -> Result<Box<StreamRun>, RefusalKind> {
+        let open = self.send(admitted, last_event_id).await?;
+        let status = open.response.status;
+        if !status.is_success() {
+            tracing::info!(request = %admitted.request.id, %status, "the rest of the stream is an error");
+            return Err(RefusalKind::Lost);
+        }
+        let mut run = Box::new(StreamRun::new(open));
+        if !is_paused {
+            return Ok(run);
+        }
+        let first = async {
+            loop {
+                match run.next().await {
+                    RunInput::Event(event) if !event.has_data => {}
+                    input => return input,
+                }
+            }
+        };
+        match timeout(OVERLAP_LIMIT, first).await {
+            Ok(RunInput::Closed(reason)) => {
+                tracing::info!(request = %admitted.request.id, endpoint = %run.guard.endpoint(), reason, "the rest of the stream broke off before its first event");
+                run.guard.check_crash(admitted).await;
+                Err(RefusalKind::Lost)
+            }
+            Ok(RunInput::Oversized) => {
+                run.guard.mark_failed();
+                Err(RefusalKind::Lost)
+            }
+            Ok(input) => {
+                run.pending = Some(input);
+                Ok(run)
+            }
+            Err(_) => Ok(run),
+        }
+    }
+}
+
+/// Whether an event is not after the last one that the caller got.
+fn is_repeated(event: &StreamEvent, last_event_id: Option<u64>) -> bool {
+    let ids = event.id.zip(last_event_id);
+    ids.is_some_and(|(id, last)| id <= last)
+}
+
+/// Waits for the result of an offer, and meanwhile for input of the response that is relayed.
+async fn offer_step(
+    offer: Pin<&mut impl Future<Output = Result<Box<StreamRun>, RefusalKind>>>,
+    run: Option<&mut Box<StreamRun>>,
+    latest_end: Instant,
+) -> OfferStep {
+    let input = async {
+        match run {
+            Some(run) => run.next().await,
+            None => pending().await,
+        }
+    };
+    tokio::select! {
+        biased;
+        // Once the new endpoint has begun, the previous one must not go on as well.
+        outcome = offer => outcome.map_or_else(OfferStep::Refused, OfferStep::Accepted),
+        input = input => OfferStep::Input(input),
+        () = sleep_until(latest_end.into()) => OfferStep::Expired,
+    }
+}
--- a/crates/forward/tests/charge.rs
+++ b/crates/forward/tests/charge.rs
@@ -8,39 +8,37 @@
         Arc,
         atomic::{AtomicU64, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use {
     bytes::Bytes,
     futures_util::{StreamExt, stream},
-    http::{HeaderMap, Method, StatusCode},
-    jasminewall_core::{HolderId, Tokens},
+    http::{HeaderMap, StatusCode},
+    jasminewall_core::Tokens,
     jasminewall_forward::{
-        BudgetManager, FleetView, Forwarder, PredecessorEnd,
-        origin::StreamOrigins,
         port::{
-            CallError, CallFuture, EndpointBody, EndpointCall, EndpointChange, EndpointPort,
-            EndpointResponse, EndpointUpdate, PortState,
+            CallError, CallFuture, EndpointBody, EndpointCall, EndpointPort, EndpointResponse,
+            PortState,
         },
-        record::{
-            CallerLimits, CustomerRule, EndpointRecord, EndpointState, FleetConfig, RetryPolicy,
-            RouteRule,
-        },
-        request::{ForwardRequest, ForwardResponse, PromptSpec},
-        setting::FleetBounds,
+        record::RetryPolicy,
+        request::ForwardResponse,
     },
-    jasminewall_ports::MemoryRows,
     tokio::time::{sleep, timeout},
 };
 
+use forwarding::{INPUT, PREPAID};
+
+#[path = "support/forwarding.rs"]
+mod forwarding;
 #[path = "support/peers.rs"]
 mod peers;
 
-const PREPAID: Tokens = 100_000;
-const INPUT: Tokens = 1_000;
 const OUTPUT: Tokens = 10;
 const EVENTS: u64 = 4;
+const ROUTE_TIMEOUT: Duration = Duration::from_millis(300);
+const TARGET_LATENCY: Duration = Duration::from_millis(40);
+const CALLER_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// What an endpoint does with one send, with delays in ms.
 #[derive(Clone, Copy, Debug)]
@@ -177,101 +175,6 @@
     })
 }
 
-fn forwarder(
-    endpoints: Arc<ScriptedEndpoints>,
-    policy: RetryPolicy,
-) -> (Arc<Forwarder>, Arc<BudgetManager>) {
-    let rows = MemoryRows::new();
-    let view = Arc::new(FleetView::default());
-    let rule = RouteRule {
-        name: "draft".into(),
-        host: "shop".into(),
-        prefix: "/".into(),
-        weighted_services: vec![("llm".into(), 1)],
-        retry_policy: policy,
-        timeout: Duration::from_millis(300),
-        target_latency: Duration::from_millis(40),
-        target_gap: None,
-        max_attempts: 3,
-        priority: 0,
-        anonymous: false,
-        allowed_regions: Vec::new(),
-    };
-    let customer = CustomerRule {
-        name: "parish".into(),
-        priority: None,
-        prepaid: Some(PREPAID),
-        allowed_regions: Vec::new(),
-    };
-    let config = FleetConfig::new(
-        7,
-        vec![rule],
-        Default::default(),
-        vec![(customer, vec!["key".into()])],
-        CallerLimits::default(),
-    );
-    view.install(config, "test");
-    let changes = (1..=4).map(|number: u16| EndpointChange {
-        id: format!("engine-{number}").into(),
-        record: Some(EndpointRecord {
-            id: format!("engine-{number}").into(),
-            started_ms: 1,
-            service: "llm".into(),
-            address: ([127, 0, 0, 1], number).into(),
-            domain: "a".into(),
-            slots: 4,
-            state: EndpointState::Ready,
-            sequence: 0,
-            software: "".into(),
-            cold_remaining: Default::default(),
-            cold: None,
-        }),
-    });
-    let update = EndpointUpdate {
-        changes: changes.collect(),
-        version: 1,
-    };
-    view.replace_endpoints(update, Instant::now());
-    let budgets = BudgetManager::new(
-        HolderId::new("vm-1", 1),
-        Arc::new(rows.clone()),
-        Arc::new(peers::NoPeers),
-    );
-    budgets.set_predecessor(PredecessorEnd::Unknown);
-    let forwarder = Forwarder::new(
-        "a".into(),
-        view,
-        budgets.clone(),
-        endpoints,
-        Arc::new(StreamOrigins::new(Arc::new(rows.clone()))),
-        Arc::new(rows),
-        FleetBounds::default(),
-    );
-    (forwarder, budgets)
-}
-
-fn request() -> ForwardRequest {
-    let arrived = Instant::now();
-    ForwardRequest {
-        id: "request".into(),
-        host: "shop".into(),
-        method: Method::POST,
-        path_and_query: "/draft".into(),
-        headers: HeaderMap::new(),
-        body: Bytes::default(),
-        key: Some("key".into()),
-        arrived,
-        deadline: Some(arrived + Duration::from_millis(250)),
-        prompt: Some(PromptSpec {
-            input_tokens: INPUT,
-            max_output_tokens: OUTPUT,
-            parts: Vec::new(),
-        }),
-        resume_from: None,
-        resumes: None,
-    }
-}
-
 /// Result of one request whose caller may have left.
 #[derive(Debug, PartialEq, Eq)]
 struct ChargeOutcome {
@@ -294,10 +197,12 @@
         ran: AtomicU64::new(0),
         connect_ms,
     });
-    let (forwarder, budgets) = forwarder(endpoints.clone(), policy);
+    let rule = forwarding::route(policy, ROUTE_TIMEOUT, TARGET_LATENCY);
+    let (forwarder, budgets) = forwarding::forwarder(endpoints.clone(), rule, 4);
     let delivered = AtomicU64::new(0);
+    let request = forwarding::request("request", CALLER_TIMEOUT, OUTPUT);
     let caller = async {
-        if let ForwardResponse::Relayed { mut body, .. } = forwarder.handle(request()).await {
+        if let ForwardResponse::Relayed { mut body, .. } = forwarder.handle(request).await {
             while let Some(Ok(_)) = body.next().await {
                 delivered.fetch_add(1, Ordering::Relaxed);
             }
@@ -307,27 +212,11 @@
     let ran = endpoints.ran.load(Ordering::Relaxed) > 0;
     let expected = if ran { INPUT } else { 0 } + delivered.load(Ordering::Relaxed);
     ChargeOutcome {
-        charged: PREPAID - largest_hold(&budgets).await,
+        charged: PREPAID - forwarding::largest_hold(&budgets).await,
         expected,
     }
 }
 
-/// Largest hold that the budget still covers.
-async fn largest_hold(budgets: &Arc<BudgetManager>) -> Tokens {
-    let (mut covered, mut excess) = (0, PREPAID + 1);
-    while excess - covered > 1 {
-        let amount = covered.midpoint(excess);
-        let until = Instant::now() + Duration::from_millis(500);
-        let (request, customer) = ("probe".into(), "parish".into());
-        let held = budgets.hold(&request, &customer, PREPAID, amount, until);
-        match held.await {
-            Ok(_) => covered = amount,
-            Err(_) => excess = amount,
-        }
-    }
-    covered
-}
-
 /// Guards against requests that ran and are not charged, and against charges for requests that did not
 /// run, whenever the caller leaves.
 #[tokio::test]
--- /dev/null
+++ b/crates/forward/tests/paused_stream.rs
@@ -0,0 +1,411 @@
+//! Streams whose endpoint pauses or breaks off while other endpoints may have no room.
+
+use std::{
+    collections::HashSet,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use {
+    bytes::Bytes,
+    futures_util::{StreamExt, future::join_all},
+    http::{HeaderMap, StatusCode},
+    jasminewall_core::Tokens,
+    jasminewall_forward::{
+        BudgetManager, Forwarder,
+        offer::{OfferGate, PauseRule},
+        port::{
+            CallError, CallFuture, EndpointBody, EndpointCall, EndpointPort, EndpointResponse,
+            PortState,
+        },
+        record::RetryPolicy,
+        request::ForwardResponse,
+        setting::FleetBounds,
+    },
+    tokio::time::{sleep, timeout},
+};
+
+use forwarding::{INPUT, PREPAID};
+
+#[path = "support/forwarding.rs"]
+mod forwarding;
+#[path = "support/peers.rs"]
+mod peers;
+
+const EVENTS: u64 = 20;
+const EVENT_TIME: Duration = Duration::from_millis(10);
+/// Time limit of the requests.
+const LIMIT: Duration = Duration::from_secs(6);
+/// Time for which two endpoints may work on one stream.
+const OVERLAP: Duration = Duration::from_millis(400);
+
+/// What the endpoint that begins a stream does before one of its events.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    Pause(u64, Duration),
+    /// Sends half of the event, then pauses.
+    PauseWithin(u64, Duration),
+    /// Stays silent for good.
+    Silence(u64),
+    Break(u64),
+}
+
+/// Run of a stream at an endpoint.
+#[derive(Clone, Copy, Debug, Default)]
+struct RunRecord {
+    begun: Option<Instant>,
+    ended: Option<Instant>,
+}
+
+/// Endpoints of which the first one to get a request begins its stream, with troubles, and all others
+/// reject it while they are full.
+struct PausingEndpoints {
+    started: Instant,
+    troubles: Vec<Trouble>,
+    /// Time since `started` from which an endpoint accepts the rest of a stream.
+    room_at: Duration,
+    /// Time until an endpoint writes the first event of the rest.
+    read_time: Duration,
+    /// Runs of each request, in the order of their sends.
+    runs: Mutex<std::collections::HashMap<String, Vec<RunRecord>>>,
+    rejected: Mutex<u32>,
+}
+
+/// Marks the end of a run when its connection is closed.
+struct RunEnd(Arc<PausingEndpoints>, String, usize);
+
+impl Drop for RunEnd {
+    fn drop(&mut self) {
+        let mut runs = self.0.runs.lock().expect("not poisoned");
+        let run = &mut runs.get_mut(&self.1).expect("a begun request")[self.2];
+        run.ended = Some(Instant::now());
+    }
+}
+
+/// Port to [`PausingEndpoints`].
+struct PausingPort(Arc<PausingEndpoints>);
+
+impl EndpointPort for PausingPort {
+    fn connected(&self, _: bool) -> HashSet<SocketAddr> {
+        HashSet::new()
+    }
+
+    fn call<'a>(&'a self, call: EndpointCall<'a>) -> CallFuture<'a> {
+        Box::pin(async move {
+            let endpoints = self.0.clone();
+            call.sends.begin();
+            sleep(Duration::from_millis(2)).await;
+            let id = call.request.id.to_string();
+            let (is_first, has_room) = {
+                let runs = endpoints.runs.lock().expect("not poisoned");
+                let has_room = endpoints.started.elapsed() >= endpoints.room_at;
+                (!runs.contains_key(&id), has_room)
+            };
+            let last = call.resume_from.and_then(|id| id.parse().ok());
+            let is_rejected = !is_first && !has_room;
+            let body: EndpointBody = if is_rejected {
+                *endpoints.rejected.lock().expect("not poisoned") += 1;
+                Box::pin(futures_util::stream::empty())
+            } else {
+                let number = {
+                    let mut runs = endpoints.runs.lock().expect("not poisoned");
+                    let runs = runs.entry(id.clone()).or_default();
+                    runs.push(RunRecord::default());
+                    runs.len() - 1
+                };
+                let end = RunEnd(endpoints, id, number);
+                event_body(end, is_first, last.unwrap_or(0))
+            };
+            Ok(EndpointResponse {
+                status: if is_rejected {
+                    StatusCode::SERVICE_UNAVAILABLE
+                } else {
+                    StatusCode::OK
+                },
+                headers: HeaderMap::new(),
+                authentic: true,
+                not_run: is_rejected,
+                load: None,
+                signals: None,
+                length: None,
+                is_framed: true,
+                body,
+            })
+        })
+    }
+
+    fn probe(&self, _: SocketAddr) -> Pin<Box<dyn Future<Output = PortState> + Send + '_>> {
+        Box::pin(async { PortState::Open })
+    }
+}
+
+fn event_body(end: RunEnd, is_first: bool, last: u64) -> EndpointBody {
+    Box::pin(async_stream::stream! {
+        let RunEnd(endpoints, id, number) = &end;
+        if !is_first {
+            sleep(endpoints.read_time).await;
+        }
+        for event in last + 1..=EVENTS {
+            let text = format!("id: {event}\ndata: part {event}\n\n");
+            let mut sent = 0;
+            let troubles = endpoints.troubles.iter().filter(|_| is_first);
+            for trouble in troubles {
+                match trouble {
+                    Trouble::Pause(at, time) if *at == event => sleep(*time).await,
+                    Trouble::PauseWithin(at, time) if *at == event => {
+                        sent = 6;
+                        yield Ok(Bytes::from(text[..sent].to_owned()));
+                        sleep(*time).await;
+                    }
+                    Trouble::Silence(at) if *at == event => sleep(LIMIT * 2).await,
+                    Trouble::Break(at) if *at == event => {
+                        yield Err(CallError::Unknown("broken off".into()));
+                        return;
+                    }
+                    _ => {}
+                }
+            }
+            endpoints.runs.lock().expect("not poisoned").get_mut(id).expect("a begun request")[*number]
+                .begun
+                .get_or_insert_with(Instant::now);
+            yield Ok(Bytes::from(text[sent..].to_owned()));
+            sleep(EVENT_TIME).await;
+        }
+    })
+}
+
+struct Fleet {
+    endpoints: Arc<PausingEndpoints>,
+    forwarder: Arc<Forwarder>,
+    budgets: Arc<BudgetManager>,
+}
+
+/// What a caller got.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct CallerView {
+    events: Vec<u64>,
+    is_complete: bool,
+}
+
+impl Fleet {
+    fn new(troubles: &[Trouble], room_at: Duration, read_time: Duration) -> Self {
+        let endpoints = Arc::new(PausingEndpoints {
+            started: Instant::now(),
+            troubles: troubles.to_vec(),
+            room_at,
+            read_time,
+            runs: Mutex::default(),
+            rejected: Mutex::default(),
+        });
+        let mut rule = forwarding::route(
+            RetryPolicy::ResumableStream,
+            LIMIT,
+            Duration::from_millis(400),
+        );
+        rule.max_attempts = 2;
+        rule.target_gap = Some(Duration::from_millis(300));
+        let port = Arc::new(PausingPort(endpoints.clone()));
+        let (forwarder, budgets) = forwarding::forwarder(port, rule, 4);
+        forwarder.set_bounds(FleetBounds {
+            retry_slack: 20.0,
+            ..FleetBounds::default()
+        });
+        Self {
+            endpoints,
+            forwarder,
+            budgets,
+        }
+    }
+
+    async fn play(&self, id: &str, view: &Mutex<CallerView>) {
+        let request = forwarding::request(id, LIMIT, EVENTS);
+        let ForwardResponse::Relayed { mut body, .. } = self.forwarder.handle(request).await else {
+            return;
+        };
+        while let Some(part) = body.next().await {
+            let Ok(bytes) = part else { return };
+            let text = String::from_utf8(bytes.to_vec()).expect("text");
+            let number = text.strip_prefix("id: ").and_then(|rest| {
+                let (number, _) = rest.split_once('\n')?;
+                number.parse().ok()
+            });
+            view.lock()
+                .expect("not poisoned")
+                .events
+                .push(number.expect("an event"));
+        }
+        view.lock().expect("not poisoned").is_complete = true;
+    }
+
+    async fn play_to_end(&self, id: &str) -> CallerView {
+        let view = Mutex::default();
+        self.play(id, &view).await;
+        view.into_inner().expect("not poisoned")
+    }
+
+    /// Runs of a request after the first one that began while an earlier one went on for too long.
+    fn overlaps(&self, id: &str) -> usize {
+        let runs = self.endpoints.runs.lock().expect("not poisoned");
+        let runs = &runs[id];
+        let is_overlap = |number: usize| {
+            let begun = runs[number].begun;
+            let mut before = runs[..number].iter();
+            begun.is_some_and(|begun| {
+                before.any(|run| run.ended.is_none_or(|at| at > begun + OVERLAP))
+            })
+        };
+        (1..runs.len()).filter(|number| is_overlap(*number)).count()
+    }
+
+    fn rejected(&self) -> u32 {
+        *self.endpoints.rejected.lock().expect("not poisoned")
+    }
+
+    async fn charged(&self) -> Tokens {
+        PREPAID - forwarding::largest_hold(&self.budgets).await
+    }
+}
+
+fn complete() -> CallerView {
+    CallerView {
+        events: (1..=EVENTS).collect(),
+        is_complete: true,
+    }
+}
+
+const FULL: Duration = Duration::from_secs(60);
+const NOW: Duration = Duration::ZERO;
+const READ: Duration = Duration::from_millis(20);
+
+/// Guards against streams that are cut off because their endpoint pauses while all others are full.
+#[tokio::test]
+async fn a_paused_stream_goes_on_after_other_endpoints_rejected_it() {
+    let pause = Duration::from_millis(1_500);
+    for trouble in [Trouble::Pause(8, pause), Trouble::PauseWithin(8, pause)] {
+        let fleet = Fleet::new(&[trouble], FULL, READ);
+        assert_eq!(fleet.play_to_end("a").await, complete(), "{trouble:?}");
+        assert!(fleet.rejected() > 0, "an offer was made");
+        assert_eq!(fleet.charged().await, INPUT + EVENTS);
+    }
+}
+
+/// Guards against a stream that is given up in a later pause, and against one that runs at more
+/// endpoints than its route allows.
+#[tokio::test]
+async fn a_stream_may_pause_more_than_once() {
+    let pause = Duration::from_millis(1_300);
+    let troubles = [Trouble::Pause(5, pause), Trouble::Pause(10, pause)];
+    for room_at in [FULL, NOW] {
+        let fleet = Fleet::new(&troubles, room_at, Duration::from_millis(200));
+        assert_eq!(fleet.play_to_end("a").await, complete(), "{room_at:?}");
+        assert!(fleet.endpoints.runs.lock().expect("not poisoned")["a"].len() <= 2);
+        assert_eq!(fleet.overlaps("a"), 0);
+    }
+}
+
+/// Guards against a stream that stays at a silent endpoint because the others were full when its pause
+/// was noticed.
+#[tokio::test]
+async fn the_stream_of_a_silent_endpoint_moves_when_there_is_room_later() {
+    let room_at = Duration::from_millis(1_900);
+    let fleet = Fleet::new(&[Trouble::Silence(8)], room_at, READ);
+    let played = join_all((0..12).map(|number| {
+        let fleet = &fleet;
+        async move { fleet.play_to_end(&number.to_string()).await }
+    }));
+    for view in played.await {
+        assert_eq!(view, complete());
+    }
+    // The pause is noticed 600 ms before there is room: a first group of offers, then one each 200 ms.
+    assert!(fleet.rejected() <= 4 + 3, "{} offers", fleet.rejected());
+}
+
+/// Guards against a broken stream whose answer ends because all others were full for a moment.
+#[tokio::test]
+async fn a_broken_stream_is_offered_again_while_its_caller_waits() {
+    let fleet = Fleet::new(&[Trouble::Break(8)], Duration::from_millis(700), READ);
+    assert_eq!(fleet.play_to_end("a").await, complete());
+    assert_eq!(fleet.charged().await, INPUT + EVENTS);
+}
+
+/// Guards against events that come twice or are missing, and against two endpoints that both go on,
+/// when the paused endpoint and the new one write their next event at about the same time.
+#[tokio::test]
+async fn a_stream_goes_on_at_one_endpoint_when_two_speak_at_once() {
+    let played = (0..60_u64).map(|number| async move {
+        // The offer is made 1,200 ms after the last event, and the rest begins 22 ms later.
+        let pause = Duration::from_micros(1_210_000 + number * 500);
+        let fleet = Fleet::new(&[Trouble::Pause(8, pause)], NOW, READ);
+        let view = fleet.play_to_end("a").await;
+        (pause, view, fleet.overlaps("a"), fleet.charged().await)
+    });
+    for (pause, view, overlaps, charged) in join_all(played).await {
+        assert_eq!(view, complete(), "{pause:?}");
+        assert_eq!(overlaps, 0, "{pause:?}");
+        assert_eq!(charged, INPUT + EVENTS, "{pause:?}");
+    }
+}
+
+/// Guards against endpoints that work on for a caller that left during an offer, and against a wrong
+/// charge for it.
+#[tokio::test]
+async fn a_caller_that_leaves_during_an_offer_frees_both_endpoints() {
+    let fleet = Fleet::new(&[Trouble::Silence(8)], NOW, Duration::from_millis(280));
+    let view = Mutex::default();
+    let left = timeout(Duration::from_millis(1_400), fleet.play("a", &view)).await;
+    assert!(left.is_err(), "the stream still pauses");
+    sleep(Duration::from_millis(20)).await;
+    let runs = fleet.endpoints.runs.lock().expect("not poisoned")["a"].clone();
+    assert_eq!(runs.len(), 2, "an offer was open");
+    assert!(runs.iter().all(|run| run.ended.is_some()), "{runs:?}");
+    let delivered = view.into_inner().expect("not poisoned").events.len() as u64;
+    assert_eq!(delivered, 7);
+    assert_eq!(fleet.charged().await, INPUT + delivered);
+}
+
+/// Guards against offers that use up the retries of the fleet while its endpoints are full.
+#[test]
+fn offers_of_many_streams_are_few_while_they_are_rejected() {
+    let start = Instant::now();
+    let mut gate = OfferGate::default();
+    let mut next_at = vec![start; 200];
+    let (mut offers, mut accepted) = (0, 0);
+    for ms in 0..4_000 {
+        let now = start + Duration::from_millis(ms);
+        let is_full = ms < 3_000;
+        for at in next_at.iter_mut().filter(|at| **at <= now) {
+            match gate.permit(now) {
+                Ok(()) if is_full => {
+                    offers += 1;
+                    gate.record_rejection(now, now);
+                    *at = now + Duration::from_millis(200);
+                }
+                Ok(()) => {
+                    accepted += 1;
+                    gate.record_acceptance();
+                    *at = start + FULL;
+                }
+                Err(next) => *at = next,
+            }
+        }
+    }
+    assert!((10..=20).contains(&offers), "{offers} offers in 3 s");
+    assert_eq!(accepted, 200, "streams that moved in a second");
+}
+
+/// Guards against one patience for all routes: callers wait for two seconds, four times the target
+/// latency or eight times the target gap, whichever is longest.
+#[test]
+fn the_patience_of_callers_depends_on_the_route() {
+    let patience = |latency_ms, gap_ms: Option<u64>| {
+        let target = Duration::from_millis(latency_ms);
+        let mut rule = forwarding::route(RetryPolicy::ResumableStream, LIMIT, target);
+        rule.target_gap = gap_ms.map(Duration::from_millis);
+        PauseRule::of(&rule).patience.as_millis()
+    };
+    assert_eq!(patience(100, None), 2_000);
+    assert_eq!(patience(100, Some(300)), 2_400);
+    assert_eq!(patience(1_000, Some(400)), 4_000);
+}
