Relay each response as what it is, and not as the first one to its request

The caller of a request whose first response is an error that breaks off gets the whole stream of the second one, and only its input is charged.

Cause: whether a response is relayed as a stream or as a whole was decided for the first response to a request. The loop that relays whole responses repeated the request after a cut-off error and relayed a stream as well, without charging its events, at its end, without its software version, and as complete if it ended within an event.

Change: OpenResponse::classify decides by status and route for each response. Its body can only be read as a StreamResponse, which StreamRelay charges, or as a WholeResponse, which is an error or belongs to a route without streams. So no code can relay the success of a stream route without charging its events.

Tests: charge.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -11,7 +11,7 @@
     forwarder::{Forwarder, RESPONSE_GRACE},
     manager::BudgetHold,
     port::{EndpointResponse, SendCount},
-    record::{EndpointRecord, RouteRule, ServiceId, SoftwareVersion},
+    record::{EndpointRecord, RetryPolicy, RouteRule, ServiceId, SoftwareVersion},
     request::{ForwardRequest, RefusalKind},
     trial::TrialPermit,
 };
@@ -134,10 +134,60 @@
     }
 }
 
-/// Endpoint's response that is relayed to the caller.
+/// Authentic response of an endpoint. It can only be read after [`OpenResponse::classify`].
 pub(crate) struct OpenResponse {
-    pub(crate) response: EndpointResponse,
-    pub(crate) guard: InFlightGuard,
+    response: EndpointResponse,
+    guard: InFlightGuard,
+}
+
+/// Response of an endpoint, by how it is relayed and charged.
+///
+/// Each response to a request is classified by itself: a request that is repeated after an error may
+/// get a stream.
+pub(crate) enum ClassifiedResponse {
+    Stream(StreamResponse),
+    Whole(WholeResponse),
+}
+
+/// Event stream, which carries output tokens. Only [`StreamRelay`](crate::stream::StreamRelay) reads
+/// it, and charges them.
+pub(crate) struct StreamResponse(OpenResponse);
+
+/// Response without output tokens: an error, or the response of a route without streams.
+pub(crate) struct WholeResponse(OpenResponse);
+
+impl OpenResponse {
+    pub(crate) fn new(response: EndpointResponse, guard: InFlightGuard) -> Self {
+        Self { response, guard }
+    }
+
+    pub(crate) fn status(&self) -> StatusCode {
+        self.response.status
+    }
+
+    pub(crate) fn endpoint(&self) -> &EndpointId {
+        self.guard.endpoint()
+    }
+
+    pub(crate) fn classify(self, policy: RetryPolicy) -> ClassifiedResponse {
+        if policy.is_stream() && self.response.status.is_success() {
+            ClassifiedResponse::Stream(StreamResponse(self))
+        } else {
+            ClassifiedResponse::Whole(WholeResponse(self))
+        }
+    }
+}
+
+impl StreamResponse {
+    pub(crate) fn into_parts(self) -> (EndpointResponse, InFlightGuard) {
+        (self.0.response, self.0.guard)
+    }
+}
+
+impl WholeResponse {
+    pub(crate) fn into_parts(self) -> (EndpointResponse, InFlightGuard) {
+        (self.0.response, self.0.guard)
+    }
 }
 
 /// Returns the deadline for the start of the response. It is earlier while another endpoint may
--- a/crates/forward/src/buffered.rs
+++ b/crates/forward/src/buffered.rs
@@ -12,10 +12,11 @@
 };
 
 use crate::{
-    attempt::{AdmittedRequest, InFlightGuard, OpenResponse},
+    attempt::{AdmittedRequest, ClassifiedResponse, InFlightGuard, OpenResponse},
     forwarder::{Forwarder, RESPONSE_GRACE},
     port::{CallError, EndpointBody, EndpointResponse},
     request::{BrokenResponse, ForwardResponse, RefusalKind, ResponseBody},
+    stream::StreamRelay,
 };
 
 /// Size in bytes up to which a response is read completely before it is relayed, so that the
@@ -71,14 +72,21 @@
 }
 
 impl Forwarder {
-    /// Relays a response that is not an event stream. Retries the request if the response is cut
-    /// off while it is read into the buffer.
-    pub(crate) async fn relay_buffered(
+    /// Relays a response. Retries the request if a response that is not an event stream is cut off
+    /// while it is read into the buffer.
+    pub(crate) async fn relay(
         self: &Arc<Self>,
         mut admitted: AdmittedRequest,
         mut open: OpenResponse,
     ) -> Result<ForwardResponse, RefusalKind> {
         loop {
+            let whole = match open.classify(admitted.route.retry_policy) {
+                ClassifiedResponse::Stream(response) => {
+                    return Ok(StreamRelay::start(self.clone(), admitted, response));
+                }
+                ClassifiedResponse::Whole(response) => response,
+            };
+            let (response, mut guard) = whole.into_parts();
             let read_deadline = admitted.deadline + RESPONSE_GRACE;
             let EndpointResponse {
                 status,
@@ -87,7 +95,7 @@
                 is_framed,
                 body,
                 ..
-            } = open.response;
+            } = response;
             let hold = KeptHold {
                 responses: self.kept.clone(),
                 bytes: 0,
@@ -99,27 +107,27 @@
                         self.record_completion(&admitted);
                     }
                     let taken_ms = admitted.request.arrived.elapsed().as_millis();
-                    tracing::info!(request = %admitted.request.id, endpoint = %open.guard.endpoint(), %status, %taken_ms, kind = "whole", "answered");
+                    tracing::info!(request = %admitted.request.id, endpoint = %guard.endpoint(), %status, %taken_ms, kind = "whole", "answered");
                     self.metrics
                         .answered(&admitted.route.name, status, admitted.request.arrived);
                     return Ok(ForwardResponse::Relayed {
                         status,
                         headers,
                         length,
-                        body: buffered_body(read, read_deadline, admitted, open.guard),
+                        body: buffered_body(read, read_deadline, admitted, guard),
                     });
                 }
                 Ok(Err(error)) => {
-                    open.guard.check_crash(&admitted).await;
+                    guard.check_crash(&admitted).await;
                     error.to_string()
                 }
                 Err(_) => {
-                    open.guard.mark_failed();
+                    guard.mark_failed();
                     "the response did not end in time".to_owned()
                 }
             };
-            tracing::info!(request = %admitted.request.id, endpoint = %open.guard.endpoint(), reason, "the response was cut off");
-            drop(open.guard);
+            tracing::info!(request = %admitted.request.id, endpoint = %guard.endpoint(), reason, "the response was cut off");
+            drop(guard);
             let expired = Instant::now() >= admitted.deadline;
             if expired || !admitted.may_run_again() || !self.take_retry(&admitted) {
                 return Err(RefusalKind::Lost);
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -37,7 +37,6 @@
     request::{ForwardRequest, ForwardResponse, RefusalKind},
     retry::RetryBudget,
     setting::FleetBounds,
-    stream::StreamRelay,
     supply::longest_wait,
     trial::{SuspectTrials, TrialPermit},
 };
@@ -229,10 +228,7 @@
         let mut admitted = self.admit(request).await?;
         self.find_origin(&mut admitted).await?;
         let open = self.dispatch(&mut admitted).await?;
-        if admitted.route.retry_policy.is_stream() && open.response.status.is_success() {
-            return Ok(StreamRelay::start(self.clone(), admitted, open));
-        }
-        self.relay_buffered(admitted, open).await
+        self.relay(admitted, open).await
     }
 
     /// Finds out which software version began a stream that the caller takes up.
@@ -353,7 +349,7 @@
     ) -> Result<OpenResponse, RefusalKind> {
         loop {
             let open = self.send(admitted, None).await?;
-            let status = open.response.status;
+            let status = open.status();
             let retry = status.is_server_error()
                 && admitted.route.retry_policy == RetryPolicy::Idempotent
                 && admitted.may_run_again()
@@ -361,7 +357,7 @@
             if !retry {
                 return Ok(open);
             }
-            tracing::info!(request = %admitted.request.id, endpoint = %open.guard.endpoint(), %status, "retrying after an error of the endpoint");
+            tracing::info!(request = %admitted.request.id, endpoint = %open.endpoint(), %status, "retrying after an error of the endpoint");
         }
     }
 
@@ -423,7 +419,7 @@
                     }
                     guard.failed = failed;
                     admitted.excluded.push(endpoint);
-                    return Ok(OpenResponse { response, guard });
+                    return Ok(OpenResponse::new(response, guard));
                 }
                 Ok(Err(CallError::NotSent(reason))) => {
                     tracing::info!(request = %id, %endpoint, %reason, "the endpoint could not be connected");
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -12,10 +12,10 @@
 };
 
 use crate::{
-    attempt::{AdmittedRequest, InFlightGuard, OpenResponse},
+    attempt::{AdmittedRequest, ClassifiedResponse, InFlightGuard, StreamResponse},
     forwarder::Forwarder,
     offer::PauseRule,
-    port::EndpointBody,
+    port::{EndpointBody, EndpointResponse},
     record::RetryPolicy,
     request::{BrokenResponse, ForwardResponse, RefusalKind, ResponseBody},
     sse::{EventSplitter, StreamEvent},
@@ -107,12 +107,12 @@
 }
 
 impl StreamRun {
-    fn new(open: OpenResponse) -> Self {
+    fn new(response: EndpointResponse, guard: InFlightGuard) -> Self {
         Self {
-            guard: open.guard,
-            body: open.response.body,
+            guard,
+            body: response.body,
             splitter: EventSplitter::default(),
-            is_framed: open.response.is_framed,
+            is_framed: response.is_framed,
             proven_at: None,
             pending: None,
         }
@@ -154,16 +154,17 @@
     pub(crate) fn start(
         forwarder: Arc<Forwarder>,
         admitted: AdmittedRequest,
-        mut open: OpenResponse,
+        response: StreamResponse,
     ) -> ForwardResponse {
-        let status = open.response.status;
-        let headers = std::mem::take(&mut open.response.headers);
+        let (mut response, guard) = response.into_parts();
+        let status = response.status;
+        let headers = std::mem::take(&mut response.headers);
         let now = Instant::now();
         let relay = Self {
             forwarder,
             pause_rule: PauseRule::of(&admitted.route),
             admitted,
-            run: Some(Box::new(StreamRun::new(open))),
+            run: Some(Box::new(StreamRun::new(response, guard))),
             break_reason: String::new(),
             last_event_id: None,
             event_count: 0,
@@ -530,12 +531,14 @@
         is_paused: bool,
     ) -> Result<Box<StreamRun>, RefusalKind> {
         let open = self.send(admitted, last_event_id).await?;
-        let status = open.response.status;
-        if !status.is_success() {
+        let status = open.status();
+        let ClassifiedResponse::Stream(response) = open.classify(admitted.route.retry_policy)
+        else {
             tracing::info!(request = %admitted.request.id, %status, "the rest of the stream is an error");
             return Err(RefusalKind::Lost);
-        }
-        let mut run = Box::new(StreamRun::new(open));
+        };
+        let (response, guard) = response.into_parts();
+        let mut run = Box::new(StreamRun::new(response, guard));
         if !is_paused {
             return Ok(run);
         }
--- a/crates/forward/tests/charge.rs
+++ b/crates/forward/tests/charge.rs
@@ -6,14 +6,14 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
 
 use {
     bytes::Bytes,
-    futures_util::{StreamExt, stream},
+    futures_util::{StreamExt, TryStreamExt, stream},
     http::{HeaderMap, StatusCode},
     jasminewall_core::Tokens,
     jasminewall_forward::{
@@ -55,6 +55,11 @@
     Failed(u64),
     /// The endpoint streams so many events.
     Streamed(u64, u64),
+    /// The endpoint responds with a status that is no success, and its body ends or breaks off.
+    Answered(u64, u16, bool),
+    /// The endpoint streams so many events and a part of the next one, and its response ends with the
+    /// connection.
+    EndedWithinEvent(u64, u64),
 }
 
 impl SendOutcome {
@@ -69,6 +74,19 @@
             _ => Self::Streamed(delay, rng.below(EVENTS + 1)),
         }
     }
+
+    /// Draws from all outcomes.
+    fn draw_any(rng: &mut SeededRng) -> Self {
+        let delay = rng.below(40);
+        match rng.below(5) {
+            0 | 1 => {
+                let status = [307, 400, 404, 500, 502][rng.below(5) as usize];
+                Self::Answered(delay, status, rng.below(3) > 0)
+            }
+            2 => Self::EndedWithinEvent(delay, rng.below(EVENTS)),
+            _ => Self::draw(rng),
+        }
+    }
 }
 
 /// Small generator, so that a failing seed is repeatable.
@@ -126,6 +144,16 @@
                             sleep(Duration::from_millis(delay)).await;
                             (StatusCode::INTERNAL_SERVER_ERROR, empty_body())
                         }
+                        SendOutcome::Answered(delay, status, is_cut) => {
+                            sleep(Duration::from_millis(delay)).await;
+                            let status = StatusCode::from_u16(status).expect("a status");
+                            (status, error_body(is_cut))
+                        }
+                        SendOutcome::EndedWithinEvent(delay, events) => {
+                            sleep(Duration::from_millis(delay)).await;
+                            let first = call.resume_from.and_then(|id| id.parse().ok());
+                            (StatusCode::OK, partial_body(first.unwrap_or(0), events))
+                        }
                         SendOutcome::Streamed(delay, events) => {
                             sleep(Duration::from_millis(delay)).await;
                             let first = call.resume_from.and_then(|id| id.parse().ok());
@@ -146,7 +174,7 @@
                 load: None,
                 signals: None,
                 length: None,
-                is_framed: true,
+                is_framed: !matches!(outcome, SendOutcome::EndedWithinEvent(..)),
                 body,
             })
         })
@@ -161,6 +189,31 @@
     Box::pin(stream::empty())
 }
 
+/// Body of an error, which may break off.
+fn error_body(is_cut: bool) -> EndpointBody {
+    Box::pin(async_stream::stream! {
+        yield Ok(Bytes::from_static(b"internal er"));
+        if is_cut {
+            yield Err(CallError::Unknown("broken off".into()));
+        } else {
+            yield Ok(Bytes::from_static(b"ror"));
+        }
+    })
+}
+
+/// Events after `last`, at most `count`, and a part of the next one.
+fn partial_body(last: u64, count: u64) -> EndpointBody {
+    Box::pin(async_stream::stream! {
+        for number in last + 1..=(last + count).min(EVENTS) {
+            sleep(Duration::from_millis(5)).await;
+            yield Ok(Bytes::from(format!("id: {number}\ndata: part\n\n")));
+        }
+        if last + count < EVENTS {
+            yield Ok(Bytes::from_static(b"id: 9\nda"));
+        }
+    })
+}
+
 /// Events after `last`, at most `count`; the stream breaks off if they are not all.
 fn event_body(last: u64, count: u64) -> EndpointBody {
     Box::pin(async_stream::stream! {
@@ -182,6 +235,8 @@
     charged: Tokens,
     /// Input tokens if an endpoint ran the request, and delivered events.
     expected: Tokens,
+    /// Whether events were missing, came twice, or were too few in a complete stream.
+    is_damaged: bool,
 }
 
 /// Sends one request whose caller leaves after `leave_ms`, before or within the response.
@@ -200,12 +255,30 @@
     let rule = forwarding::route(policy, ROUTE_TIMEOUT, TARGET_LATENCY);
     let (forwarder, budgets) = forwarding::forwarder(endpoints.clone(), rule, 4);
     let delivered = AtomicU64::new(0);
+    let is_damaged = AtomicBool::new(false);
     let request = forwarding::request("request", CALLER_TIMEOUT, OUTPUT);
     let caller = async {
-        if let ForwardResponse::Relayed { mut body, .. } = forwarder.handle(request).await {
-            while let Some(Ok(_)) = body.next().await {
-                delivered.fetch_add(1, Ordering::Relaxed);
-            }
+        let response = forwarder.handle(request).await;
+        let ForwardResponse::Relayed { status, body, .. } = response else {
+            return;
+        };
+        if !status.is_success() {
+            // The body of an error holds no output tokens.
+            body.for_each(|_| async {}).await;
+            return;
+        }
+        let is_complete = body
+            .try_for_each(|part| {
+                let number = delivered.fetch_add(1, Ordering::Relaxed) + 1;
+                if !part.starts_with(format!("id: {number}\n").as_bytes()) {
+                    is_damaged.store(true, Ordering::Relaxed);
+                }
+                std::future::ready(Ok(()))
+            })
+            .await
+            .is_ok();
+        if is_complete && delivered.load(Ordering::Relaxed) < EVENTS {
+            is_damaged.store(true, Ordering::Relaxed);
         }
     };
     let _ = timeout(Duration::from_millis(leave_ms), caller).await;
@@ -214,6 +287,7 @@
     ChargeOutcome {
         charged: PREPAID - forwarding::largest_hold(&budgets).await,
         expected,
+        is_damaged: is_damaged.into_inner(),
     }
 }
 
@@ -221,6 +295,30 @@
 /// run, whenever the caller leaves.
 #[tokio::test]
 async fn a_request_is_charged_for_what_ran_and_was_delivered_whenever_its_caller_leaves() {
+    play_seeds(SendOutcome::draw).await;
+}
+
+/// Guards against responses that are relayed as another kind than they are, and so not charged or
+/// taken for complete: a request that is repeated after a broken error may get a stream.
+#[tokio::test]
+async fn each_response_is_charged_as_what_it_is() {
+    play_seeds(SendOutcome::draw_any).await;
+}
+
+/// Guards against a stream that is delivered without a charge after an error that broke off.
+#[tokio::test]
+async fn a_stream_after_a_broken_error_is_charged() {
+    let outcomes = vec![
+        SendOutcome::Answered(5, 500, true),
+        SendOutcome::Streamed(5, EVENTS),
+    ];
+    let outcome = charge_of(outcomes, RetryPolicy::ResumableStream, 1, 320).await;
+    assert_eq!(outcome.expected, INPUT + EVENTS, "the stream was delivered");
+    assert_eq!(outcome.charged, outcome.expected);
+}
+
+/// Plays drawn outcomes, and compares the charge with what the caller got.
+async fn play_seeds(draw: fn(&mut SeededRng) -> SendOutcome) {
     let seeds = std::env::var("CHARGE_SEEDS").ok();
     let seeds = seeds
         .and_then(|count| count.parse().ok())
@@ -228,7 +326,7 @@
     let played = stream::iter(1..=seeds).map(|seed| async move {
         let mut rng = SeededRng(seed * 0x9e37_79b9 + 1);
         let count = 1 + rng.below(3);
-        let outcomes: Vec<SendOutcome> = (0..count).map(|_| SendOutcome::draw(&mut rng)).collect();
+        let outcomes: Vec<SendOutcome> = (0..count).map(|_| draw(&mut rng)).collect();
         let policies = [RetryPolicy::Stream, RetryPolicy::ResumableStream];
         let policy = policies[rng.below(2) as usize];
         let (connect_ms, leave_ms) = (rng.below(20), rng.below(320));
@@ -239,7 +337,7 @@
     let mut played = played.buffer_unordered(30);
     let mut wrong = Vec::new();
     while let Some((outcome, case)) = played.next().await {
-        if outcome.charged != outcome.expected {
+        if outcome.charged != outcome.expected || outcome.is_damaged {
             wrong.push(case);
         }
     }
