Keep a silent stream of run until it is resumed on another connection

What callers saw: an answer of the own interface without data for 20 s was cut off with outcome_unknown, and its run cancelled, if the engine could not be reached on a new connection at that moment.

Cause: one failed attempt to resume a stream ended it, though its connection was open and its engine may only be silent.

Change: after a silence the open connection is read on unless the new one brings the stream, or the engine says that it no longer has it. Silences do not count as attempts; they end at the deadline.

Test: silent_stream_is_kept_while_it_cannot_be_resumed, with a pause of 21 s and an engine that refuses to resume; it fails on the code before after 20.1 s. The stand-in engine gets the two faults.

--- a/crates/router/src/api/relay.rs
+++ b/crates/router/src/api/relay.rs
@@ -32,9 +32,9 @@
     spend::{self, ChargeOutcome},
 };
 
-/// Time without data after which a stream is resumed on a new connection.
+/// Time without data after which a stream is resumed on a new connection, if that is possible.
 const PROGRESS_TIMEOUT: Duration = Duration::from_secs(20);
-/// Maximum number of times that a stream is resumed on a new connection.
+/// Maximum number of times that a stream is resumed on a new connection after its connection broke.
 const MAX_RESUME_ATTEMPTS: u32 = 3;
 /// Time to read the rest of an endpoint's body after `[DONE]`, so that the connection can be
 /// reused.
@@ -392,16 +392,23 @@
             if Instant::now() >= deadline {
                 break RefusalCode::AnswerTimeout;
             }
-            attempts += 1;
+            // A silent engine may still go on where it is, so its connection is kept until another one
+            // brings the stream.
+            let is_silent = frame.is_err();
+            attempts += u32::from(!is_silent);
             if attempts > MAX_RESUME_ATTEMPTS {
                 break RefusalCode::OutcomeUnknown;
             }
-            tracing::warn!(request = %charge.stream_id, attempts, "engine stream interrupted; resuming it on a new connection");
+            tracing::warn!(request = %charge.stream_id, attempts, is_silent, "engine stream interrupted; resuming it on a new connection");
             match resume::open_stream(&charge.api, &charge.address, &charge.stream_id, filter.last_event_id).await {
                 Ok(response) => {
                     body = response.into_body();
                     decoder = SseDecoder::default();
                 }
+                // Without a time for a retry, the engine said that it no longer has the stream.
+                Err(refusal) if is_silent && refusal.retry_after.is_some() => {
+                    tracing::warn!(request = %charge.stream_id, "the silent engine stream cannot be resumed now; waiting for it");
+                }
                 Err(_) => break RefusalCode::OutcomeUnknown,
             }
         };
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -63,6 +63,7 @@
 struct StreamRecord {
     job: EngineJob,
     payer: StreamPayer,
+    refuses_resume: bool,
     progress: watch::Sender<StreamProgress>,
 }
 
@@ -94,6 +95,11 @@
     cut_after: Option<u64>,
     /// Deletes the stream when `cut_after` ends its connection, so that it cannot be resumed.
     forget: bool,
+    /// Sends nothing for some ms before the event with this index, on the first connection.
+    pause_before: Option<u64>,
+    pause_ms: u64,
+    /// Responds with 503 to requests to resume the stream.
+    refuses_resume: bool,
     /// Sends every event twice, and the whole stream twice.
     twice: bool,
     /// Number of bytes added to each token.
@@ -174,7 +180,7 @@
         holder: header_text(&headers, "x-jasminewall-holder"),
         budget: header_text(&headers, "x-jasminewall-budget"),
     };
-    let record = engine.start(request, payer, job, is_stream);
+    let record = engine.start(request, payer, job, is_stream, fault.refuses_resume);
     if is_stream {
         return stream_events(engine, record, 0, &fault);
     }
@@ -213,6 +219,9 @@
     if record.progress.borrow().state == StreamState::Cancelled {
         return StatusCode::GONE.into_response();
     }
+    if record.refuses_resume {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
     let first_index = query.after.map_or(0, |after| after + 1);
     stream_events(engine, record, first_index, &FaultOptions::default())
 }
@@ -301,10 +310,12 @@
         payer: StreamPayer,
         job: EngineJob,
         is_stream: bool,
+        refuses_resume: bool,
     ) -> Arc<StreamRecord> {
         let record = Arc::new(StreamRecord {
             job,
             payer,
+            refuses_resume,
             progress: watch::Sender::default(),
         });
         let mut streams = self.streams();
@@ -384,6 +395,9 @@
                         }
                         return;
                     }
+                    if fault.pause_before == Some(index) {
+                        tokio::time::sleep(Duration::from_millis(fault.pause_ms)).await;
+                    }
                     let delta = json!({"role": "assistant", "content": format!("{}{} ", "x".repeat(fault.pad), engine.token_text(index))});
                     let data = job.chunk(&delta, None).to_string();
                     for _ in 0..copies {
--- a/crates/testkit/tests/caller_completions.rs
+++ b/crates/testkit/tests/caller_completions.rs
@@ -279,6 +279,19 @@
     assert_eq!(stop(fleet).await, 10);
 }
 
+/// Guards against a silent stream that is cut off because its engine cannot be reached on a new
+/// connection, though the open one would bring the rest.
+#[tokio::test]
+async fn silent_stream_is_kept_while_it_cannot_be_resumed() {
+    let (fleet, client) = start().await;
+    let fault = json!({"pause_before": 3, "pause_ms": 21_000, "refuses_resume": true});
+    let pausing = json!({"stream": true, "standin": fault});
+    let text = client.complete(&pausing).await.unwrap().text();
+    assert_eq!(token_indexes(&text), (0..8).collect::<Vec<_>>());
+    assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+    assert_eq!(stop(fleet).await, 10);
+}
+
 /// Guards against a caller that takes a truncated response for a complete one when the endpoint has
 /// lost the stream.
 #[tokio::test]
