--- a/crates/forward/src/offer.rs
+++ b/crates/forward/src/offer.rs
@@ -26,25 +26,16 @@
 /// Time without an offer after which earlier results tell nothing.
 const GROUP_MEMORY: Duration = Duration::from_secs(2);
 
-/// Times that a route allows for a stream without events.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PauseRule {
-    /// Time without an event after which the rest is offered to other endpoints.
-    pub offer_delay: Duration,
-    /// Time without an event after which callers leave.
-    pub patience: Duration,
+/// When the rest of a stream whose last event arrived at `last_event` is offered to other endpoints.
+pub fn offer_time(last_event: Instant) -> Instant {
+    last_event + OFFER_DELAY
 }
 
-impl PauseRule {
-    /// Rule of a route.
-    pub fn of(route: &RouteRule) -> Self {
-        let by_latency = route.target_latency * PATIENCE_LATENCIES;
-        let by_gap = route.target_gap.unwrap_or_default() * PATIENCE_GAPS;
-        Self {
-            offer_delay: OFFER_DELAY,
-            patience: PATIENCE_MIN.max(by_latency).max(by_gap),
-        }
-    }
+/// When the caller of a stream of `route` leaves after an event at `last_event`.
+pub fn leave_time(route: &RouteRule, last_event: Instant) -> Instant {
+    let by_latency = route.target_latency * PATIENCE_LATENCIES;
+    let by_gap = route.target_gap.unwrap_or_default() * PATIENCE_GAPS;
+    last_event + PATIENCE_MIN.max(by_latency).max(by_gap)
 }
 
 /// Limits the offers of all streams of one service at this router.
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -14,7 +14,7 @@
 use crate::{
     attempt::{AdmittedRequest, ClassifiedResponse, InFlightGuard, StreamResponse},
     forwarder::Forwarder,
-    offer::PauseRule,
+    offer,
     port::{EndpointBody, EndpointResponse},
     record::RetryPolicy,
     request::{BrokenResponse, ForwardResponse, RefusalKind, ResponseBody},
@@ -55,7 +55,6 @@
     longest_gap: Duration,
     /// Whether other requests with the same prompt parts were told that they crash no endpoint.
     is_proof_recorded: bool,
-    pause_rule: PauseRule,
     /// Earliest time of the next offer to another endpoint.
     next_offer_at: Instant,
     /// Number of offers since the last event or break.
@@ -162,7 +161,6 @@
         let now = Instant::now();
         let relay = Self {
             forwarder,
-            pause_rule: PauseRule::of(&admitted.route),
             admitted,
             run: Some(Box::new(StreamRun::new(response, guard))),
             break_reason: String::new(),
@@ -248,6 +246,7 @@
                             self.record_break(run, input).await;
                         }
                     }
+                    // Replaced by the result of the offer.
                     StreamStep::OfferDue => {}
                     StreamStep::Expired => {
                         self.record_expiry();
@@ -299,11 +298,11 @@
         if self.run.is_some() {
             // Before its first event, a request may still wait at its endpoint.
             self.last_event_id?;
-            let at = self.last_event_at + self.pause_rule.offer_delay;
+            let at = offer::offer_time(self.last_event_at);
             return Some(at.max(self.next_offer_at));
         }
         let at = self.next_offer_at;
-        let leaves_at = self.last_event_at + self.pause_rule.patience;
+        let leaves_at = offer::leave_time(&self.admitted.route, self.last_event_at);
         let is_timely = at < self.admitted.deadline && (self.offers == 0 || at < leaves_at);
         is_timely.then_some(at)
     }
--- a/crates/forward/tests/paused_stream.rs
+++ b/crates/forward/tests/paused_stream.rs
@@ -15,7 +15,7 @@
     jasminewall_core::Tokens,
     jasminewall_forward::{
         BudgetManager, Forwarder,
-        offer::{OfferGate, PauseRule},
+        offer::{OfferGate, leave_time},
         port::{
             CallError, CallFuture, EndpointBody, EndpointCall, EndpointPort, EndpointResponse,
             PortState,
@@ -437,7 +437,9 @@
         let target = Duration::from_millis(latency_ms);
         let mut rule = forwarding::route(RetryPolicy::ResumableStream, LIMIT, target);
         rule.target_gap = gap_ms.map(Duration::from_millis);
-        PauseRule::of(&rule).patience.as_millis()
+        let last_event = Instant::now();
+        let leaves_at = leave_time(&rule, last_event);
+        (leaves_at - last_event).as_millis()
     };
     assert_eq!(patience(100, None), 2_000);
     assert_eq!(patience(100, Some(300)), 2_400);
