Wait for a late response on stream routes only

Streams keep the longer wait: a silence must not end them, and one client attempt is all that a caller has for a while.

--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -394,8 +394,12 @@
             };
             let mut call = self.endpoints.call(call);
             let outcome = match timeout_at(start_deadline.into(), &mut call).await {
-                // The endpoint may still respond. It is left only for another one.
-                Err(_) if !self.may_send_elsewhere(admitted, guard.endpoint()) => {
+                // The endpoint may still begin the stream. It is left only for another one. Callers of
+                // other requests that may be repeated do that themselves, so they are told at once.
+                Err(_)
+                    if admitted.route.retry_policy.is_stream()
+                        && !self.may_send_elsewhere(admitted, guard.endpoint()) =>
+                {
                     let latest = admitted.deadline + RESPONSE_GRACE;
                     timeout_at(latest.into(), &mut call).await
                 }
