--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -392,20 +392,7 @@
                 retryable: admitted.route.retry_policy.may_retry(),
                 sends: &admitted.open_sends,
             };
-            let mut call = self.endpoints.call(call);
-            let outcome = match timeout_at(start_deadline.into(), &mut call).await {
-                // The endpoint may still begin the stream. It is left only for another one. Callers of
-                // other requests that may be repeated do that themselves, so they are told at once.
-                Err(_)
-                    if admitted.route.retry_policy.is_stream()
-                        && !self.may_send_elsewhere(admitted, guard.endpoint()) =>
-                {
-                    let latest = admitted.deadline + RESPONSE_GRACE;
-                    timeout_at(latest.into(), &mut call).await
-                }
-                outcome => outcome,
-            };
-            drop(call);
+            let outcome = timeout_at(start_deadline.into(), self.endpoints.call(call)).await;
             let id = &admitted.request.id;
             let endpoint = guard.endpoint().clone();
             if let Ok(Ok(response)) = &outcome {
@@ -759,13 +746,6 @@
         allowed
     }
 
-    /// Whether a request whose endpoint has not responded may be sent to another one now.
-    fn may_send_elsewhere(&self, admitted: &AdmittedRequest, endpoint: &EndpointId) -> bool {
-        let has_retry = admitted.sends < admitted.send_limit
-            && self.with_retry_budget(&admitted.service, |budget| budget.has_retry(Instant::now()));
-        has_retry && self.has_endpoint_without(admitted, Some(endpoint))
-    }
-
     /// Whether an interrupted stream may continue at another endpoint; if so, takes a retry from
     /// the budget of the service.
     pub(crate) fn take_resume(&self, admitted: &AdmittedRequest) -> bool {
@@ -774,25 +754,12 @@
 
     /// Whether the service of a request has a ready endpoint that was not tried.
     pub(crate) fn has_untried_endpoint(&self, admitted: &AdmittedRequest) -> bool {
-        self.has_endpoint_without(admitted, None)
-    }
-
-    /// Whether the service of a request has a ready endpoint that was not tried, other than `running`.
-    fn has_endpoint_without(
-        &self,
-        admitted: &AdmittedRequest,
-        running: Option<&EndpointId>,
-    ) -> bool {
         let (service, regions) = (&admitted.service, &admitted.regions);
         let records = self
             .view
             .eligible_endpoints(service, regions, Instant::now());
         let mut records = records.iter();
-        records.any(|record| {
-            admitted.fits(record)
-                && !admitted.excluded.contains(&record.id)
-                && running != Some(&record.id)
-        })
+        records.any(|record| admitted.fits(record) && !admitted.excluded.contains(&record.id))
     }
 
     /// Permits an offer of the rest of a stream of a service, or returns when to ask again.
--- a/crates/forward/src/retry.rs
+++ b/crates/forward/src/retry.rs
@@ -42,21 +42,16 @@
         self.requests.push_back(now);
     }
 
-    /// Whether a retry is left in the window.
-    pub fn has_retry(&mut self, now: Instant) -> bool {
+    /// Takes one retry; `false` if none is left in the window.
+    pub fn withdraw(&mut self, now: Instant) -> bool {
         self.expire(now);
         let earned = self.ratio * self.requests.len() as f64 * USABLE_SHARE;
         let allowed = earned + self.slack;
-        self.retries.len() as f64 + 1.0 <= allowed
-    }
-
-    /// Takes one retry; `false` if none is left in the window.
-    pub fn withdraw(&mut self, now: Instant) -> bool {
-        let has_retry = self.has_retry(now);
-        if has_retry {
-            self.retries.push_back(now);
+        if self.retries.len() as f64 + 1.0 > allowed {
+            return false;
         }
-        has_retry
+        self.retries.push_back(now);
+        true
     }
 
     fn expire(&mut self, now: Instant) {
