--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -37,12 +37,12 @@
     pub(crate) suspects: Vec<CrashSuspect>,
     /// Number of times that the request was sent to an endpoint.
     pub(crate) sends: u32,
+    /// Those of them that may have run.
+    pub(crate) open_sends: Arc<SendCount>,
     /// Number of sends after which it is not sent again, except in a later offer of a stream.
     pub(crate) send_limit: u32,
-    /// Number of endpoints that rejected the request.
+    /// Number of times that an endpoint rejected the request.
     pub(crate) rejections: u32,
-    /// Those of them that may have run.
-    pub(crate) open_sends: Arc<SendCount>,
     /// Number of endpoints that could not be connected.
     pub(crate) failed_connects: u32,
     /// Endpoints that ran the request or may have run it.
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -65,6 +65,7 @@
     endpoints: Arc<dyn EndpointPort>,
     balancer: Mutex<LoadBalancer>,
     retry_budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
+    /// One for each service whose streams paused; the configuration bounds the services.
     offer_gates: Mutex<HashMap<ServiceId, OfferGate>>,
     bounds: Mutex<FleetBounds>,
     routers: AtomicUsize,
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -24,7 +24,7 @@
 /// Time after the deadline within which an endpoint may still end its stream.
 const END_GRACE: Duration = Duration::from_millis(100);
 /// Time after which an offer that could not be made is tried again.
-const OFFER_PAUSE: Duration = Duration::from_millis(200);
+const OFFER_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Largest number of endpoints that get one offer of a stream that broke off, and of one that pauses or
 /// was rejected: the loads that routers know are up to a second old, so a few attempts are worth it
 /// once, but under full load each one is a retry for nothing.
@@ -57,7 +57,7 @@
     is_proof_recorded: bool,
     /// Earliest time of the next offer to another endpoint.
     next_offer_at: Instant,
-    /// Number of offers since the last event or break.
+    /// Number of times that an offer was due since the last event or break, also if none could be made.
     offers: u32,
     /// Set when no further offer is made.
     offers_ended: bool,
@@ -330,7 +330,7 @@
         let may_offer = self.forwarder.has_untried_endpoint(&self.admitted)
             && self.forwarder.take_resume(&self.admitted);
         if !may_offer {
-            self.next_offer_at = now + OFFER_PAUSE;
+            self.next_offer_at = now + OFFER_RETRY_DELAY;
             // The caller may take up a broken stream itself, which costs the fleet no retry.
             self.offers_ended = is_break;
         }
@@ -365,7 +365,7 @@
             has_response = self.run.is_some(), "the stream could not be resumed"
         );
         let now = Instant::now();
-        self.next_offer_at = now + OFFER_PAUSE;
+        self.next_offer_at = now + OFFER_RETRY_DELAY;
         self.offers_ended = kind == RefusalKind::CrashesEndpoints;
         if is_rejected {
             self.forwarder
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -95,8 +95,9 @@
     cut_after: Option<u64>,
     /// Deletes the stream when `cut_after` ends its connection, so that it cannot be resumed.
     forget: bool,
-    /// Sends nothing for some ms before the event with this index, on the first connection.
+    /// Pauses the first connection before the event with this index.
     pause_before: Option<u64>,
+    /// Time of that pause, in milliseconds.
     pause_ms: u64,
     /// Responds with 503 to requests to resume the stream.
     refuses_resume: bool,
